--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Programs and their folders have the same names, so "go build ./NAME" writes NAME.bin.
+MODULES := jay jayfieldd jayfield jaybench
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+LINT_VERSION := v2.15.0
+LINT := $(CURDIR)/bin/golangci-lint
+SEED ?= 1
+
+.PHONY: build demo lint soak test tools
+
+build:
+	go build -o bin/jayfieldd ./jayfieldd
+	go build -o bin/jayfield ./jayfield
+	go build -o bin/jaybench ./jaybench
+
+demo:
+	go run ./jaybench demo
+
+test:
+	go vet $(PACKAGES)
+	go test -count=1 $(PACKAGES)
+	go test -count=1 -race $(PACKAGES)
+
+lint: $(LINT)
+	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); echo "run gofmt -w on these files"; exit 1; }
+	for module in $(MODULES); do (cd $$module && $(LINT) run ./...) || exit 1; done
+
+$(LINT):
+	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
--- /dev/null
+++ b/jay/jaycall/complete.go
@@ -0,0 +1,130 @@
+package jaycall
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+
+	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jaydispatch"
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayroute"
+)
+
+const (
+	// bytesPerToken estimates the tokens of a prompt from its bytes.
+	bytesPerToken = 4
+	// prefixBytes is the length of the prompt prefix that affinity goes by.
+	prefixBytes = 512
+	// longTokens is the predicted work above which a request counts as long,
+	// in output tokens, a prompt token counting as promptWeight of one.
+	longTokens   = 1500
+	promptWeight = 0.1
+)
+
+// completion is a request for tokens as far as the front reads it.
+type completion struct {
+	*request
+	model  string
+	stream bool
+	route  jayconfig.NamedRoute
+	work   jayroute.Work
+	// body is what the engine gets.
+	body     []byte
+	from     cursor
+	deadline time.Time
+}
+
+// complete serves a completion, streamed or whole.
+func (f *Front) complete(w http.ResponseWriter, r *request) error {
+	if err := f.limited(r); err != nil {
+		return err
+	}
+	c, err := f.parse(r)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	f.retries.Earn()
+	out := newSink(w, c, f)
+	return f.relay(ctx, c, out)
+}
+
+func (f *Front) parse(r *request) (*completion, error) {
+	if !gjson.ValidBytes(r.body) {
+		return nil, jayerror.New("parse", KindInvalid, "body is not JSON")
+	}
+	fields := gjson.GetManyBytes(r.body, "model", "stream", "max_completion_tokens", "max_tokens", "messages", "prompt")
+	c := &completion{request: r, model: fields[0].String(), stream: fields[1].Bool()}
+	if !fields[4].Exists() && !fields[5].Exists() {
+		return nil, jayerror.New("parse", KindInvalid, "body has neither messages nor prompt")
+	}
+	var ok bool
+	if c.route, ok = r.view.Route(c.model, r.caller.Labels); !ok {
+		return nil, jayerror.Newf("parse", KindModel, "model %q is not served to this account; see /v1/models", c.model)
+	}
+	timeout, err := f.timeout(r, f.Limits.Time)
+	if err != nil {
+		return nil, err
+	}
+	c.deadline = r.start.Add(timeout)
+	c.from = cursor{request: r.id}
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		if c.from, err = f.parseCursor(last, r.caller.Name, r.body); err != nil {
+			return nil, err
+		}
+	}
+	c.work = f.workOf(c, fields[4].Raw+fields[5].Raw, int(max(fields[2].Int(), fields[3].Int())))
+	c.body, err = engineBody(c)
+	return c, err
+}
+
+// workOf predicts the work of a request.
+func (f *Front) workOf(c *completion, prompt string, bound int) jayroute.Work {
+	work := jayroute.Work{
+		Prompt: len(prompt)/bytesPerToken + 1,
+		Output: f.lengths.predict(c.caller.Name, c.model, bound),
+		Region: f.Region,
+	}
+	if len(prompt) >= prefixBytes {
+		work.Prefix = xxhash.Sum64String(prompt[:prefixBytes])
+	}
+	work.Long = float64(work.Output)+promptWeight*float64(work.Prompt) > longTokens
+	return work
+}
+
+// engineBody returns the caller's body with what every stream needs: tokens
+// as they come, and a seed, so that a stream goes on with the same tokens elsewhere.
+func engineBody(c *completion) ([]byte, error) {
+	body, err := sjson.SetBytes(c.request.body, "stream", true)
+	if err == nil && !gjson.GetBytes(body, "seed").Exists() {
+		body, err = sjson.SetBytes(body, "seed", xxhash.Sum64String(c.from.request)>>32)
+	}
+	if err != nil {
+		return nil, jayerror.Wrap("parse", KindInvalid, err)
+	}
+	return body, nil
+}
+
+// acquire asks for an upstream other than the one to avoid.
+func (f *Front) acquire(ctx context.Context, c *completion, avoid string) (jaydispatch.Grant, error) {
+	prefer := ""
+	if avoid == "" {
+		prefer = c.from.upstream
+	}
+	return f.Dispatcher.Acquire(ctx, jaydispatch.Request{
+		Pool:     c.route.Name,
+		Caller:   c.caller.Name,
+		Weight:   c.caller.Weight,
+		Priority: c.route.Priority,
+		Deadline: c.deadline,
+		Work:     c.work,
+		Avoid:    avoid,
+		Prefer:   prefer,
+	})
+}
--- /dev/null
+++ b/jay/jaycall/query.go
@@ -0,0 +1,51 @@
+package jaycall
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"jayfield.example/jay/jayentry"
+)
+
+// model is an entry of the list of models.
+type model struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Owner  string `json:"owned_by"`
+}
+
+// modelList is the answer to /v1/models.
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+// entries answers which instances the caller should use.
+func (f *Front) entries(w http.ResponseWriter, r *request) error {
+	region := r.Header.Get(HeaderRegion)
+	if region == "" {
+		region = f.Region
+	}
+	answer := jayentry.Answer{
+		Entries:    f.Entries.Entries(region),
+		Lifetime:   f.Entries.Lifetime().Milliseconds(),
+		Ticket:     f.Home.Issue(r.caller.Name),
+		TicketLife: f.Home.TicketLife().Milliseconds(),
+	}
+	return writeJSON(w, answer)
+}
+
+// models answers which models the caller's work may use.
+func (f *Front) models(w http.ResponseWriter, r *request) error {
+	list := modelList{Object: "list", Data: []model{}}
+	for _, name := range r.view.Models(r.caller.Labels) {
+		list.Data = append(list.Data, model{ID: name, Object: "model", Owner: "jayfield"})
+	}
+	return writeJSON(w, list)
+}
+
+func writeJSON(w http.ResponseWriter, value any) error {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // A caller that went away needs no answer.
+	return nil
+}
--- /dev/null
+++ b/jay/jayconfig/error.go
@@ -0,0 +1,18 @@
+package jayconfig
+
+import "jayfield.example/jay/jayerror"
+
+// Kind classifies a failure of the configuration.
+type Kind string
+
+// Kinds of failures.
+const (
+	KindInvalid  Kind = "invalid"
+	KindConflict Kind = "conflict"
+	KindUnknown  Kind = "unknown"
+	KindFormat   Kind = "format"
+	KindStale    Kind = "stale"
+)
+
+// Error is the error type of the package.
+type Error = jayerror.Error[Kind]
--- /dev/null
+++ b/jay/jayconfig/snapshot.go
@@ -0,0 +1,56 @@
+package jayconfig
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfield.example/jay/jayerror"
+)
+
+// Snapshot is a state in the form that checkpoints and peers carry.
+type Snapshot struct {
+	Format int `msgpack:"v"`
+	// Position is the offset of the first record that is not in the snapshot.
+	Position int64     `msgpack:"p"`
+	Objects  []Object  `msgpack:"o"`
+	Verdicts []Verdict `msgpack:"d"`
+}
+
+// DecodeSnapshot reads a snapshot and checks its format.
+func DecodeSnapshot(body []byte) (Snapshot, error) {
+	var snapshot Snapshot
+	if err := msgpack.Unmarshal(body, &snapshot); err != nil {
+		return Snapshot{}, jayerror.Wrap("snapshot", KindInvalid, err)
+	}
+	if snapshot.Format > Format {
+		return Snapshot{}, jayerror.Newf("snapshot", KindFormat, "format %d is newer than %d", snapshot.Format, Format)
+	}
+	return snapshot, nil
+}
+
+// Encode returns the snapshot as bytes.
+func (s Snapshot) Encode() ([]byte, error) {
+	body, err := msgpack.Marshal(&s)
+	if err != nil {
+		return nil, jayerror.Wrap("snapshot", KindInvalid, err)
+	}
+	return body, nil
+}
+
+// State returns the state that the snapshot holds.
+func (s Snapshot) State() (*State, error) {
+	state := &State{next: s.Position, objects: make(map[Name]Object, len(s.Objects)), verdicts: s.Verdicts}
+	for _, o := range s.Objects {
+		spec, err := specOf(o.Name, o.Fields)
+		if err != nil {
+			return nil, jayerror.Wrap("snapshot", KindInvalid, err)
+		}
+		o.spec = spec
+		state.objects[o.Name] = o
+	}
+	return state, nil
+}
+
+// Snapshot returns the state in its portable form.
+func (s *State) Snapshot() Snapshot {
+	return Snapshot{Format: Format, Position: s.next, Objects: s.Objects(), Verdicts: s.verdicts}
+}
--- /dev/null
+++ b/jay/jaydispatch/request.go
@@ -0,0 +1,70 @@
+package jaydispatch
+
+import (
+	"time"
+
+	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jayqueue"
+	"jayfield.example/jay/jayroute"
+)
+
+// Request asks for an upstream.
+type Request struct {
+	// Pool is the name of the route's or service's object.
+	Pool     string
+	Caller   string
+	Weight   int
+	Priority jayconfig.Priority
+	// Deadline is when the answer must be complete; zero is none.
+	Deadline time.Time
+	Work     jayroute.Work
+	// Avoid names an upstream that has failed the work already, or is empty.
+	Avoid string
+	// Prefer names an upstream that holds the work already, or is empty. It is
+	// granted without waiting unless it leaves.
+	Prefer string
+}
+
+// Grant assigns an upstream to one piece of work until it is released.
+type Grant struct {
+	// Upstream and Address name the upstream.
+	Upstream, Address string
+	Region            string
+	// Waited is the time in the queue.
+	Waited time.Duration
+	// Pace is the upstream's observed time between tokens.
+	Pace time.Duration
+
+	upstream *jayroute.Upstream
+	work     jayroute.Work
+	ahead    int
+	started  time.Time
+}
+
+// Result tells how granted work ended.
+type Result string
+
+// Results of granted work.
+const (
+	ResultDone Result = "done"
+	// ResultFailed means that the connection broke or was never made.
+	ResultFailed Result = "failed"
+	// ResultLeaving means that the upstream said that it takes no new work.
+	ResultLeaving Result = "leaving"
+	// ResultUnused means that the work was not sent, or was given up by its caller.
+	ResultUnused Result = "unused"
+)
+
+// waiter is a request that waits for its grant.
+type waiter struct {
+	request Request
+	reply   chan reply
+	item    *jayqueue.Item[*waiter]
+	pool    *jayroute.Pool
+	grant   *Grant
+}
+
+type reply struct {
+	grant Grant
+	err   error
+}
--- /dev/null
+++ b/jay/jaydispatch/state.go
@@ -0,0 +1,228 @@
+package jaydispatch
+
+import (
+	"time"
+
+	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayqueue"
+	"jayfield.example/jay/jayroute"
+)
+
+// state is what the dispatcher's task owns.
+type state struct {
+	table  *jayroute.Table
+	queues map[string]*jayqueue.Queue[*waiter]
+	costs  map[string]poolCost
+	limit  int
+	policy jayroute.Policy
+	// share is the part of the upstreams' capacity that is this instance's.
+	share float64
+	// ready is set once a configuration is known.
+	ready bool
+}
+
+// poolCost is the usual time of a pool's upstreams for a token, in seconds.
+type poolCost struct {
+	lead, pace float64
+}
+
+// ending describes released work.
+type ending struct {
+	result Result
+	first  bool
+	tokens int
+	took   time.Duration
+}
+
+func (s *state) cancel(w *waiter) {
+	if w.grant != nil {
+		s.release(time.Now(), *w.grant, ending{result: ResultUnused})
+		return
+	}
+	if w.item != nil {
+		s.queue(w.request.Pool).Remove(w.item)
+	}
+}
+
+func (s *state) configure(config *jayconfig.State) {
+	s.table.Configure(config)
+	s.ready = true
+	now := time.Now()
+	for name, queue := range s.queues {
+		if _, ok := s.table.Pool(name); !ok {
+			s.refuseAll(queue, now)
+		}
+	}
+	s.drainAll(now)
+}
+
+// drain grants the waiting work of a pool as far as its upstreams may take it.
+func (s *state) drain(now time.Time, name string) {
+	queue := s.queues[name]
+	pool, ok := s.table.Pool(name)
+	if queue == nil || !ok {
+		return
+	}
+	long := true
+	for queue.Size() > 0 {
+		item, late := queue.Peek(now, long)
+		refuseLate(late)
+		if item == nil {
+			return
+		}
+		u, ok := s.table.Pick(now, pool, s.work(item.Value.request))
+		if !ok && item.Long && long {
+			long = false
+			continue
+		}
+		if !ok {
+			return
+		}
+		queue.Take(item)
+		s.grant(now, item.Value, u, now.Sub(item.Arrived()))
+	}
+}
+
+func (s *state) drainAll(now time.Time) {
+	for name, queue := range s.queues {
+		if queue.Size() > 0 {
+			s.drain(now, name)
+		}
+	}
+}
+
+func (s *state) grant(now time.Time, w *waiter, u *jayroute.Upstream, waited time.Duration) {
+	work := s.work(w.request)
+	w.grant = &Grant{
+		Upstream: u.Name(),
+		Address:  u.Address(),
+		Region:   u.Spec().Region,
+		Waited:   waited,
+		Pace:     u.Pace(),
+		upstream: u,
+		work:     work,
+		ahead:    s.table.Start(u, work),
+		started:  now,
+	}
+	w.reply <- reply{grant: *w.grant}
+}
+
+func (s *state) queue(name string) *jayqueue.Queue[*waiter] {
+	queue, ok := s.queues[name]
+	if !ok {
+		queue = jayqueue.New[*waiter](s.limit)
+		s.queues[name] = queue
+	}
+	return queue
+}
+
+func (s *state) refuseAll(queue *jayqueue.Queue[*waiter], now time.Time) {
+	for queue.Size() > 0 {
+		item, late := queue.Peek(now, true)
+		refuseLate(late)
+		if item == nil {
+			return
+		}
+		queue.Take(item)
+		item.Value.reply <- reply{err: jayerror.New("acquire", KindNoPool, "route or service was removed")}
+	}
+}
+
+func (s *state) release(now time.Time, g Grant, end ending) {
+	u := g.upstream
+	if !end.first {
+		s.table.Forget(u, g.work)
+	}
+	s.table.Finish(u, g.work)
+	switch end.result {
+	case ResultFailed:
+		s.table.Fail(now, u)
+	case ResultLeaving:
+		s.table.Leave(u)
+	case ResultDone:
+		if end.tokens > 0 {
+			s.table.Pace(u, end.took/time.Duration(end.tokens))
+		}
+	case ResultUnused:
+	}
+	s.drainAll(now)
+}
+
+func (s *state) submit(now time.Time, w *waiter) {
+	pool, ok := s.table.Pool(w.request.Pool)
+	if !ok {
+		w.reply <- reply{err: jayerror.Newf("acquire", KindNoPool, "%s is not configured", w.request.Pool)}
+		return
+	}
+	if pool.Slots() == 0 {
+		w.reply <- reply{err: jayerror.Newf("acquire", KindNoUpstream, "%s has no upstream that takes work", w.request.Pool)}
+		return
+	}
+	if u, ok := s.table.Upstream(w.request.Prefer); ok && !u.Leaving() {
+		s.grant(now, w, u, 0)
+		return
+	}
+	queue := s.queue(w.request.Pool)
+	if queue.Size() == 0 {
+		if u, ok := s.table.Pick(now, pool, s.work(w.request)); ok {
+			s.grant(now, w, u, 0)
+			return
+		}
+	}
+	w.pool = pool
+	w.item = s.item(w)
+	queue.Capacity(float64(pool.Slots()) * s.share)
+	if err := queue.Push(now, w.item, pool.Slots()); err != nil {
+		w.reply <- reply{err: err}
+		return
+	}
+	s.drain(now, w.request.Pool)
+}
+
+func (s *state) item(w *waiter) *jayqueue.Item[*waiter] {
+	r := w.request
+	cost := s.costs[r.Pool]
+	return &jayqueue.Item[*waiter]{
+		Caller:   r.Caller,
+		Weight:   r.Weight,
+		Priority: r.Priority,
+		Cost:     float64(r.Work.Prompt)*cost.lead + float64(r.Work.Output)*cost.pace,
+		Deadline: r.Deadline,
+		Long:     r.Work.Long,
+		Value:    w,
+	}
+}
+
+func (s *state) tick(now time.Time) {
+	s.table.Sweep(now)
+	for name, queue := range s.queues {
+		refuseLate(queue.Sweep(now))
+		if pool, ok := s.table.Pool(name); ok {
+			lead, pace := pool.Usual()
+			s.costs[name] = poolCost{lead: lead, pace: pace}
+		}
+	}
+	s.drainAll(now)
+}
+
+// work returns the request's work with the upstream to avoid, while it is known.
+func (s *state) work(r Request) jayroute.Work {
+	work := r.Work
+	if r.Avoid != "" {
+		if u, ok := s.table.Upstream(r.Avoid); ok {
+			work.Avoid = u
+		}
+	}
+	return work
+}
+
+func refuseLate(late []*jayqueue.Item[*waiter]) {
+	for _, item := range late {
+		err := &jayqueue.Refusal{
+			Err:   jayerror.New("acquire", jayqueue.KindDeadline, "answer would be later than the deadline"),
+			Retry: time.Second,
+		}
+		item.Value.reply <- reply{err: err}
+	}
+}
--- /dev/null
+++ b/jay/jayinstance/instance.go
@@ -0,0 +1,234 @@
+// Package jayinstance wires the parts of one entry instance together.
+package jayinstance
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jayadmin"
+	"jayfield.example/jay/jaycall"
+	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jaydispatch"
+	"jayfield.example/jay/jayengine"
+	"jayfield.example/jay/jaylimit"
+	"jayfield.example/jay/jaylist"
+	"jayfield.example/jay/jaylog"
+	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaymesh"
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jayonce"
+	"jayfield.example/jay/jaypeer"
+	"jayfield.example/jay/jayroute"
+	"jayfield.example/jay/jaysetting"
+	"jayfield.example/jay/jaystate"
+	"jayfield.example/jay/jaytask"
+	"jayfield.example/jay/jaywatch"
+)
+
+// Instance is one running entry instance.
+type Instance struct {
+	settings    jaysetting.Settings
+	incarnation string
+	log         *slog.Logger
+	metrics     *jaymetric.Set
+	policy      jayroute.Policy
+
+	platform   *jaylog.Client
+	list       *jaylist.Client
+	engines    *jayengine.Client
+	dispatcher *jaydispatch.Dispatcher
+	home       *jayonce.Home
+	mesh       *jaymesh.Mesh
+	follower   *jayconfig.Follower
+	watcher    *jaywatch.Watcher
+	front      *jaycall.Front
+	rates      *jaylimit.Limiter
+	collector  *jaystate.Collector
+	writer     *jaylog.Writer
+
+	group     *jaytask.Group
+	peers     *jaypeer.Server
+	callers   *http.Server
+	operators *http.Server
+	addresses Addresses
+	// leaving is set when a planned stop began.
+	leaving atomic.Bool
+}
+
+// Addresses are where an instance listens.
+type Addresses struct {
+	Caller, Operator, Peer string
+}
+
+// Option changes an instance at its construction.
+type Option func(*Instance)
+
+// WithMetrics sets the counters.
+func WithMetrics(metrics *jaymetric.Set) Option {
+	return func(i *Instance) { i.metrics = metrics }
+}
+
+// WithPolicy sets the way to choose among upstreams.
+func WithPolicy(policy jayroute.Policy) Option {
+	return func(i *Instance) { i.policy = policy }
+}
+
+// Start starts an instance. It must be stopped.
+func Start(settings jaysetting.Settings, log *slog.Logger, options ...Option) (*Instance, error) {
+	i := &Instance{
+		settings:    settings,
+		incarnation: jaylog.NewIncarnation(),
+		log:         log.With("instance", settings.Name),
+		policy:      jayroute.PolicyPredict,
+		group:       jaytask.NewGroup(),
+	}
+	i.metrics = jaymetric.NewSet(i.log)
+	for _, option := range options {
+		option(i)
+	}
+	listeners, err := listen(settings)
+	if err != nil {
+		i.group.Stop()
+		return nil, err
+	}
+	i.addresses = listeners.addresses()
+	i.build()
+	i.run(listeners)
+	i.log.Info("instance started", "incarnation", i.incarnation, "caller", i.addresses.Caller,
+		"operator", i.addresses.Operator, "peer", i.addresses.Peer)
+	return i, nil
+}
+
+// Addresses returns where the instance listens.
+func (i *Instance) Addresses() Addresses {
+	return i.addresses
+}
+
+// Done is closed when the instance has stopped.
+func (i *Instance) Done() <-chan struct{} {
+	return i.group.Done()
+}
+
+// Dump returns the state of every part.
+func (i *Instance) Dump(ctx context.Context) jaystate.Dump {
+	return i.collector.Collect(ctx)
+}
+
+// Metrics returns the counters.
+func (i *Instance) Metrics() *jaymetric.Set {
+	return i.metrics
+}
+
+// Next returns the offset of the first configuration record that is not in force, -1 while none is known.
+func (i *Instance) Next() int64 {
+	return i.follower.Next()
+}
+
+// Incarnation returns the identity of this run of the instance.
+func (i *Instance) Incarnation() string {
+	return i.incarnation
+}
+
+// build makes the parts; none of them listens yet.
+func (i *Instance) build() {
+	s := i.settings
+	i.writer = jaylog.NewWriter(i.incarnation)
+	i.platform = jaylog.NewClient(s.Platform)
+	i.list = jaylist.NewClient(s.Platform)
+	i.engines = jayengine.NewClient()
+	i.rates = jaylimit.New()
+	i.dispatcher = jaydispatch.New(jaydispatch.Options{
+		Region: s.Region, Policy: i.policy, Limit: s.Queue, Seed: uint64(time.Now().UnixNano()), //nolint:gosec // Any seed will do.
+	})
+	worker := jaycall.NewWorker()
+	issuer := jayonce.NewIssuer(i.incarnation, time.Now(), s.Ticket)
+	i.home = jayonce.NewHome(issuer, worker, func(jayonce.Recorded) {}, i.metrics.Breach)
+	i.mesh = jaymesh.New(jaymesh.Options{
+		Self:    i.member(),
+		Key:     []byte(s.PeerKey),
+		Loads:   i.dispatcher,
+		Working: func() int { return i.front.Working() },
+		Share:   i.rates.Share,
+		Home:    i.home,
+		Log:     i.log,
+	})
+	i.follower = jayconfig.NewFollower(jayconfig.FollowerOptions{
+		Reader:          i.platform,
+		Appender:        i.platform,
+		Writer:          i.writer,
+		Peers:           i.mesh,
+		Metrics:         i.metrics,
+		Log:             i.log,
+		CheckpointEvery: jayconfig.DefaultCheckpointEvery,
+		CheckpointAge:   s.Retention / checkpointParts,
+		Apply:           func(view *jayconfig.View) { i.dispatcher.Configure(view.State()) },
+	})
+	i.front = jaycall.NewFront(jaycall.Options{
+		Region:      s.Region,
+		Incarnation: i.incarnation,
+		Secret:      []byte(s.PeerKey),
+		Limits:      s.Limits,
+		Configs:     i.follower,
+		Entries:     entries{mesh: i.mesh, lifetime: s.Lifetime},
+		Homes:       i.mesh,
+		Home:        i.home,
+		Dispatcher:  i.dispatcher,
+		Engines:     i.engines,
+		Rates:       i.rates,
+		Metrics:     i.metrics,
+		Log:         i.log,
+	})
+	worker.Serve(i.front)
+	i.collector = jaystate.NewCollector(i.parts()...)
+}
+
+// checkpointParts is the part of the log's retention after which a checkpoint is due.
+const checkpointParts = 4
+
+func (i *Instance) member() jaymember.Member {
+	return jaymember.Member{
+		Name:        i.settings.Name,
+		Incarnation: i.incarnation,
+		Address:     "http://" + i.addresses.Caller,
+		Peer:        i.addresses.Peer,
+		Region:      i.settings.Region,
+		Zone:        i.settings.Zone,
+	}
+}
+
+// run starts the parts that talk to others.
+func (i *Instance) run(l listeners) {
+	i.peers = jaypeer.NewServer(l.peer, []byte(i.settings.PeerKey), i.mesh, i.log)
+	i.mesh.Start(i.follower)
+	i.watcher = jaywatch.New(i.member(), i.mesh, i.follower, i.mesh, i.engines)
+	i.group.Every(listPeriod, i.readList)
+	admin := jayadmin.NewServer(jayadmin.Options{
+		Key:       i.settings.OperatorKey,
+		Configs:   i.follower,
+		Members:   i.mesh,
+		Appender:  i.platform,
+		Writer:    i.writer,
+		Explainer: i.dispatcher,
+		State:     i.collector,
+		Metrics:   i.metrics,
+		Log:       i.log,
+	})
+	i.callers = newHTTPServer(i.front.Handler(), i.log)
+	i.operators = newHTTPServer(admin.Handler(), i.log)
+	i.serve(i.callers, l.caller)
+	i.serve(i.operators, l.operator)
+}
+
+func (i *Instance) serve(server *http.Server, listener net.Listener) {
+	i.group.Go(func(context.Context) {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			i.log.Error("listener failed", "address", listener.Addr().String(), "error", err)
+		}
+	})
+}
--- /dev/null
+++ b/jay/jayinstance/stop.go
@@ -0,0 +1,63 @@
+package jayinstance
+
+import (
+	"context"
+	"time"
+)
+
+// closeBound bounds the end of the listeners after the last request.
+const closeBound = 5 * time.Second
+
+// Kill ends the instance at once, as a crash would: it tells nobody and cuts
+// what is at work.
+func (i *Instance) Kill() {
+	_ = i.callers.Close()
+	_ = i.operators.Close()
+	i.stopParts()
+	i.list.Close()
+}
+
+// Stop ends the instance without cutting a request: it announces that it
+// leaves, serves on for as long as callers may keep its address, refuses new
+// work as not run, finishes every request, and hands its outcomes over.
+func (i *Instance) Stop(ctx context.Context) error {
+	started := time.Now()
+	i.log.Info("stop announced", "working", i.front.Working(), "lifetime", i.settings.Lifetime)
+	i.leaving.Store(true)
+	i.mesh.Leave(ctx)
+	if i.settings.Register {
+		i.announce(ctx)
+	}
+	select {
+	case <-time.After(i.settings.Lifetime):
+	case <-ctx.Done():
+	}
+	err := i.front.Drain(ctx)
+	outcomes := i.home.Outcomes(ctx)
+	given := i.mesh.HandOver(ctx, outcomes)
+	i.log.Info("outcomes handed over", "outcomes", len(outcomes), "instances", given)
+	closing, cancel := context.WithTimeout(context.Background(), closeBound)
+	defer cancel()
+	_ = i.callers.Shutdown(closing)
+	_ = i.operators.Shutdown(closing)
+	i.stopParts()
+	if i.settings.Register {
+		_ = i.list.Remove(closing, i.settings.Name)
+	}
+	i.list.Close()
+	i.log.Info("instance stopped", "took", time.Since(started), "error", err)
+	return err
+}
+
+// stopParts ends the parts, those that use others first.
+func (i *Instance) stopParts() {
+	i.watcher.Stop()
+	i.follower.Stop()
+	i.peers.Stop()
+	i.mesh.Stop()
+	i.home.Stop()
+	i.dispatcher.Stop()
+	i.engines.Close()
+	i.platform.Close()
+	i.group.Stop()
+}
--- /dev/null
+++ b/jay/jaymember/member.go
@@ -0,0 +1,41 @@
+// Package jaymember holds what an instance knows of the other entry
+// instances. No safety rule depends on it.
+package jaymember
+
+import "time"
+
+// Member is what an entry instance says of itself.
+type Member struct {
+	Name        string `msgpack:"n" json:"name"`
+	Incarnation string `msgpack:"i" json:"incarnation"`
+	// Address is where callers reach the instance.
+	Address string `msgpack:"a" json:"address"`
+	// Peer is where other instances reach it.
+	Peer   string `msgpack:"p" json:"peer"`
+	Region string `msgpack:"r" json:"region"`
+	Zone   string `msgpack:"z" json:"zone"`
+	// Leaving is set for good once a planned stop began.
+	Leaving bool `msgpack:"l" json:"leaving"`
+	// Config is the offset up to which configuration is in force.
+	Config int64 `msgpack:"c" json:"config"`
+	// Load is the number of requests at work.
+	Load int `msgpack:"w" json:"load"`
+	// Sequence grows with each statement of one incarnation.
+	Sequence uint64 `msgpack:"s" json:"sequence"`
+}
+
+// Status is a member with what this instance concludes about it.
+type Status struct {
+	Member
+	// Heard is when the newest statement arrived.
+	Heard time.Time `json:"heard"`
+	// Listed is set while the platform's list shows the incarnation.
+	Listed bool `json:"listed"`
+	// Silent is set when no statement arrived within the silence bound.
+	Silent bool `json:"silent"`
+}
+
+// Usable reports whether callers may be sent to the member.
+func (s Status) Usable() bool {
+	return !s.Leaving && !s.Silent
+}
--- /dev/null
+++ b/jay/jaymesh/handle.go
@@ -0,0 +1,81 @@
+package jaymesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfield.example/jay/jayonce"
+	"jayfield.example/jay/jaypeer"
+)
+
+// HandlePeer answers a request of another instance.
+func (m *Mesh) HandlePeer(ctx context.Context, topic jaypeer.Topic, body []byte) ([]byte, error) {
+	switch topic {
+	case jaypeer.TopicDigest:
+		return m.handleDigest(ctx, body)
+	case jaypeer.TopicSnapshot:
+		return m.handleSnapshot(body)
+	case jaypeer.TopicCall:
+		return m.handleCall(ctx, body)
+	case jaypeer.TopicOutcomes:
+		return nil, m.handleOutcomes(body)
+	default:
+		return nil, newError("handle", KindMessage, "unknown topic "+string(topic))
+	}
+}
+
+func (m *Mesh) handleCall(ctx context.Context, body []byte) ([]byte, error) {
+	var call jayonce.Call
+	if err := msgpack.Unmarshal(body, &call); err != nil {
+		return nil, wrapError("call", err)
+	}
+	outcome := m.Home.Do(ctx, call)
+	return msgpack.Marshal(&outcome)
+}
+
+func (m *Mesh) handleDigest(ctx context.Context, body []byte) ([]byte, error) {
+	if err := m.hear(ctx, body); err != nil {
+		return nil, err
+	}
+	running, err := m.Loads.Running(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var reply Digest
+	err = m.owner.Ask(ctx, func(s *state) {
+		own := make([]Running, 0, len(running))
+		for name, count := range running {
+			own = append(own, Running{Upstream: name, Count: count})
+		}
+		reply = s.digest(time.Now(), own, false)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return msgpack.Marshal(&reply)
+}
+
+func (m *Mesh) handleOutcomes(body []byte) error {
+	var outcomes []jayonce.Recorded
+	if err := msgpack.Unmarshal(body, &outcomes); err != nil {
+		return wrapError("outcomes", err)
+	}
+	for _, recorded := range outcomes {
+		m.Home.Learn(recorded)
+	}
+	return nil
+}
+
+func (m *Mesh) handleSnapshot(body []byte) ([]byte, error) {
+	var request snapshotRequest
+	if err := msgpack.Unmarshal(body, &request); err != nil {
+		return nil, wrapError("snapshot", err)
+	}
+	view := m.configs.View()
+	if view == nil || view.State().Next() <= request.Above {
+		return nil, newError("snapshot", KindBehind, "nothing newer here")
+	}
+	return view.State().Snapshot().Encode()
+}
--- /dev/null
+++ b/jay/jaymesh/query.go
@@ -0,0 +1,87 @@
+package jaymesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jayentry"
+	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaypeer"
+)
+
+// queryBound bounds a question to the mesh's own task.
+const queryBound = time.Second
+
+// Entries returns the instances that callers of a region should use, the best first.
+func (m *Mesh) Entries(region string) []jayentry.Entry {
+	members := m.Members()
+	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Spreading needs no secrets.
+	return jayentry.Rank(region, members, source)
+}
+
+// InForce counts the members that have applied an offset, and all live members.
+func (m *Mesh) InForce(offset int64) (inForce, live int) {
+	for _, member := range m.Members() {
+		if member.Silent {
+			continue
+		}
+		live++
+		if member.Config > offset {
+			inForce++
+		}
+	}
+	return inForce, live
+}
+
+// Members returns this instance and all others that it knows.
+func (m *Mesh) Members() []jaymember.Status {
+	ctx, cancel := context.WithTimeout(context.Background(), queryBound)
+	defer cancel()
+	var list []jaymember.Status
+	_ = m.owner.Ask(ctx, func(s *state) {
+		self := s.view.Self()
+		self.Config = m.configs.Next()
+		list = append(list, jaymember.Status{Member: self, Heard: time.Now(), Listed: true})
+		list = append(list, s.view.Members()...)
+	})
+	return list
+}
+
+// Snapshot returns the newest configuration that a peer has above a position.
+func (m *Mesh) Snapshot(ctx context.Context, above int64) (jayconfig.Snapshot, bool) {
+	ahead := m.ahead(ctx, above)
+	for _, c := range ahead {
+		body, err := msgpack.Marshal(&snapshotRequest{Above: above})
+		if err != nil {
+			return jayconfig.Snapshot{}, false
+		}
+		reply, err := c.Ask(ctx, jaypeer.TopicSnapshot, body, jaypeer.SilentBound)
+		if err != nil {
+			continue
+		}
+		if snapshot, err := jayconfig.DecodeSnapshot(reply); err == nil && snapshot.Position > above {
+			return snapshot, true
+		}
+	}
+	return jayconfig.Snapshot{}, false
+}
+
+// ahead returns the clients of members with a newer configuration, the newest first.
+func (m *Mesh) ahead(ctx context.Context, above int64) []*client {
+	var list []*client
+	_ = m.owner.Ask(ctx, func(s *state) {
+		members := slices.Clone(s.view.Members())
+		slices.SortStableFunc(members, func(a, b jaymember.Status) int { return int(b.Config - a.Config) })
+		for _, member := range members {
+			if member.Config > above && !member.Silent {
+				list = append(list, m.client(s, member.Peer))
+			}
+		}
+	})
+	return list
+}
--- /dev/null
+++ b/jay/jayonce/home.go
@@ -0,0 +1,251 @@
+package jayonce
+
+import (
+	"context"
+	"time"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaytask"
+)
+
+const (
+	// DefaultTableLimit bounds the keys that a home keeps.
+	DefaultTableLimit = 200_000
+	expirePeriod      = time.Second
+)
+
+// Call is work that runs at most once.
+type Call struct {
+	Key     Key    `msgpack:"k"`
+	Request string `msgpack:"id"`
+	Service string `msgpack:"s"`
+	Method  string `msgpack:"m"`
+	// Path is the path at the upstream with its query.
+	Path string `msgpack:"p"`
+	Type string `msgpack:"t"`
+	Body []byte `msgpack:"b"`
+	// Left is the time that the caller still waits. It travels as a
+	// duration, since the clocks of two instances differ.
+	Left   time.Duration `msgpack:"l"`
+	Region string        `msgpack:"r"`
+}
+
+// Gate lets work out to an upstream once.
+type Gate interface {
+	// Sent must be called right before the first byte is sent; false forbids to send.
+	Sent() bool
+	// Unsent takes Sent back where no connection was made.
+	Unsent()
+}
+
+// Worker does the work of a call.
+type Worker interface {
+	// Work sends the call through the gate and returns its outcome. The
+	// context ends when the caller is gone or its time has run out; work
+	// that was sent goes on without it.
+	Work(ctx context.Context, call Call, gate Gate) Outcome
+}
+
+// Home runs the keys of one incarnation. It is safe for concurrent use.
+type Home struct {
+	issuer *Issuer
+	owner  *jaytask.Owner[homeState]
+	worker Worker
+	record func(Recorded)
+}
+
+// homeState is what the home's task owns.
+type homeState struct {
+	table   *Table
+	archive *Archive
+}
+
+// Size tells how many keys and outcomes a home keeps.
+type Size struct {
+	Keys     int `json:"keys"`
+	Archived int `json:"archived"`
+}
+
+// NewHome starts a home. It hands each outcome of work that was sent to record.
+func NewHome(issuer *Issuer, worker Worker, record func(Recorded), breach func(rule string)) *Home {
+	s := &homeState{
+		table:   NewTable(DefaultTableLimit, issuer.Life(), breach),
+		archive: NewArchive(DefaultTableLimit, issuer.Life()),
+	}
+	tick := func(s *homeState, _ time.Time) {
+		s.table.Expire(time.Now())
+		s.archive.Expire(time.Now())
+	}
+	return &Home{issuer: issuer, owner: jaytask.NewOwner(s, expirePeriod, tick), worker: worker, record: record}
+}
+
+// Do runs a call or waits for the attempt that does, and returns what is known
+// when the work is settled, the caller is gone or its time has run out.
+func (h *Home) Do(ctx context.Context, call Call) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, call.Left)
+	defer cancel()
+	step, entry, err := h.begin(ctx, call.Key)
+	if err != nil {
+		return refusal(err)
+	}
+	switch step {
+	case StepFull:
+		return Outcome{Run: RunUnknown, Reason: "home is full"}
+	case StepRun:
+		go h.run(ctx, call)
+	case StepWait:
+	}
+	select {
+	case <-entry.Done():
+		return entry.Outcome()
+	case <-ctx.Done():
+		return h.giveUp(call.Key, step, entry)
+	case <-h.owner.Done():
+		return Outcome{Run: RunUnknown, Reason: "home stops"}
+	}
+}
+
+// Done is closed when the home has stopped.
+func (h *Home) Done() <-chan struct{} {
+	return h.owner.Done()
+}
+
+// Issue returns a fresh ticket for a caller.
+func (h *Home) Issue(caller string) string {
+	return h.issuer.Issue(time.Now(), caller)
+}
+
+// Learn keeps an outcome of another incarnation.
+func (h *Home) Learn(recorded Recorded) {
+	_ = h.owner.Tell(context.Background(), func(s *homeState) { s.archive.Add(time.Now(), recorded) })
+}
+
+// Lookup returns what is recorded of a key whose home cannot be asked.
+func (h *Home) Lookup(ctx context.Context, key Key) Outcome {
+	outcome := Outcome{Run: RunUnknown, Reason: "home of the key is gone and recorded no outcome"}
+	_ = h.owner.Ask(ctx, func(s *homeState) {
+		if known, ok := s.archive.Lookup(key); ok {
+			outcome = known
+		}
+	})
+	return outcome
+}
+
+// Outcomes returns every settled key, to be handed over before a stop.
+func (h *Home) Outcomes(ctx context.Context) []Recorded {
+	var list []Recorded
+	_ = h.owner.Ask(ctx, func(s *homeState) { list = s.table.Outcomes() })
+	return list
+}
+
+// Size returns how much the home keeps.
+func (h *Home) Size(ctx context.Context) Size {
+	var size Size
+	_ = h.owner.Ask(ctx, func(s *homeState) { size = Size{Keys: s.table.Size(), Archived: s.archive.Size()} })
+	return size
+}
+
+// Stop ends the home's task.
+func (h *Home) Stop() {
+	h.owner.Stop()
+}
+
+// TicketLife returns how long a ticket may be used.
+func (h *Home) TicketLife() time.Duration {
+	return h.issuer.Life()
+}
+
+// begin checks the ticket and registers the attempt at one instant, so that a
+// key cannot be forgotten between the two.
+func (h *Home) begin(ctx context.Context, key Key) (step Step, entry *Entry, err error) {
+	asked := h.owner.Ask(ctx, func(s *homeState) {
+		now := time.Now()
+		if outcome, ok := s.table.Settled(key); ok {
+			entry, step = settledEntry(outcome), StepWait
+			return
+		}
+		if err = h.issuer.Check(now, key.Caller, key.Key); err != nil {
+			return
+		}
+		step, entry = s.table.Begin(now, key)
+	})
+	if asked != nil {
+		return StepFull, nil, nil
+	}
+	return step, entry, err
+}
+
+// giveUp settles work that was not sent yet as not run; sent work stays unknown to this caller.
+func (h *Home) giveUp(key Key, step Step, entry *Entry) Outcome {
+	unknown := Outcome{Run: RunUnknown, Reason: "time ran out while the work was under way; ask again with the same key"}
+	if step != StepRun {
+		return unknown
+	}
+	h.settle(key, Outcome{Run: RunNot, Reason: "time ran out before the work was sent"}, PhaseReceived)
+	select {
+	case <-entry.Done():
+		return entry.Outcome()
+	default:
+		return unknown
+	}
+}
+
+func (h *Home) run(ctx context.Context, call Call) {
+	gate := &homeGate{home: h, key: call.Key, ctx: ctx}
+	outcome := h.worker.Work(ctx, call, gate)
+	h.settle(call.Key, outcome, "")
+	if gate.out && outcome.Run != RunNot {
+		h.record(Recorded{Key: call.Key, Outcome: outcome})
+	}
+}
+
+// settle records an outcome, only in the given phase unless that is empty.
+func (h *Home) settle(key Key, outcome Outcome, only Phase) {
+	_ = h.owner.Ask(context.Background(), func(s *homeState) {
+		if only == "" || s.table.Phase(key) == only {
+			s.table.Settle(key, outcome)
+		}
+	})
+}
+
+// homeGate is the gate of one attempt.
+type homeGate struct {
+	home *Home
+	key  Key
+	ctx  context.Context //nolint:containedctx // It bounds the one attempt that the gate belongs to.
+	out  bool
+}
+
+// Sent allows the work out if its caller still waits and nothing was sent before.
+func (g *homeGate) Sent() bool {
+	allowed := false
+	_ = g.home.owner.Ask(context.Background(), func(s *homeState) {
+		allowed = g.ctx.Err() == nil && s.table.Sent(g.key)
+	})
+	g.out = allowed
+	return allowed
+}
+
+// Unsent takes Sent back.
+func (g *homeGate) Unsent() {
+	_ = g.home.owner.Ask(context.Background(), func(s *homeState) { s.table.Unsent(g.key) })
+	g.out = false
+}
+
+func settledEntry(outcome Outcome) *Entry {
+	done := make(chan struct{})
+	close(done)
+	return &Entry{phase: PhaseSettled, outcome: outcome, done: done}
+}
+
+// refusal is the outcome of a key that its ticket does not allow.
+func refusal(err error) Outcome {
+	switch {
+	case jayerror.Is(err, KindExpired):
+		return Outcome{Run: RunUnknown, Reason: "ticket is too old; its work may have run"}
+	case jayerror.Is(err, KindForeign):
+		return Outcome{Run: RunUnknown, Reason: "ticket belongs to another instance"}
+	default:
+		return Outcome{Run: RunNot, Reason: "key does not begin with a ticket issued to this caller"}
+	}
+}
--- /dev/null
+++ b/jay/jaypeer/client.go
@@ -0,0 +1,181 @@
+package jaypeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaytask"
+)
+
+const (
+	dialBound = 2 * time.Second
+	// SilentBound is how long a request may wait for its reply before the
+	// connection counts as silent; calls that run work have a bound of their own.
+	SilentBound = 2 * time.Second
+	// maxPending bounds the requests that wait for a reply on one connection.
+	maxPending = 256
+)
+
+// Client sends requests to one instance over one connection, which it
+// makes when needed and replaces when it is silent. It is safe for concurrent use.
+type Client struct {
+	address string
+	key     []byte
+	mu      sync.Mutex
+	link    *link
+}
+
+// NewClient returns a client of the instance at an address such as 127.0.0.1:7300.
+func NewClient(address string, key []byte) *Client {
+	return &Client{address: address, key: key}
+}
+
+// Ask sends a request and returns the body of its reply. KindUnreachable and
+// KindBusy say that the request was not sent.
+func (c *Client) Ask(ctx context.Context, topic Topic, body []byte, bound time.Duration) ([]byte, error) {
+	l, err := c.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return l.ask(ctx, topic, body, bound)
+}
+
+// Close gives up the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil {
+		c.link.group.Stop()
+	}
+}
+
+func (c *Client) connect(ctx context.Context) (*link, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil && c.link.alive() {
+		return c.link, nil
+	}
+	dialer := net.Dialer{Timeout: dialBound}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, jayerror.Wrap("dial", KindUnreachable, err)
+	}
+	if err := handshake(conn, c.key, sideDialer); err != nil {
+		_ = conn.Close()
+		return nil, jayerror.Wrap("dial", KindUnreachable, err)
+	}
+	c.link = newLink(conn)
+	return c.link, nil
+}
+
+// link is one connection with its waiting requests.
+type link struct {
+	conn   net.Conn
+	group  *jaytask.Group
+	writes chan Envelope
+	mu     sync.Mutex
+	next   uint64
+	waits  map[uint64]chan Envelope
+}
+
+func newLink(conn net.Conn) *link {
+	l := &link{
+		conn:   conn,
+		group:  jaytask.NewGroup(),
+		writes: make(chan Envelope, maxPending),
+		waits:  make(map[uint64]chan Envelope),
+	}
+	l.group.Go(l.read)
+	l.group.Go(l.write)
+	l.group.Go(func(ctx context.Context) {
+		<-ctx.Done()
+		_ = conn.Close()
+	})
+	return l
+}
+
+func (l *link) alive() bool {
+	return l.group.Context().Err() == nil
+}
+
+func (l *link) ask(ctx context.Context, topic Topic, body []byte, bound time.Duration) ([]byte, error) {
+	number, wait, err := l.register()
+	if err != nil {
+		return nil, err
+	}
+	defer l.unregister(number)
+	request := Envelope{Version: Version, Number: number, Topic: topic, Body: body}
+	select {
+	case l.writes <- request:
+	default:
+		return nil, jayerror.New("ask", KindBusy, "queue to the instance is full")
+	}
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	select {
+	case reply := <-wait:
+		if reply.Refused != "" {
+			return nil, jayerror.New("ask", KindRefused, reply.Refused)
+		}
+		return reply.Body, nil
+	case <-timer.C:
+		go l.group.Stop()
+		return nil, jayerror.Newf("ask", KindSilent, "no reply within %s", bound)
+	case <-ctx.Done():
+		return nil, jayerror.Wrap("ask", KindSilent, ctx.Err())
+	case <-l.group.Context().Done():
+		return nil, jayerror.New("ask", KindSilent, "connection ended before the reply")
+	}
+}
+
+func (l *link) read(context.Context) {
+	defer func() { go l.group.Stop() }()
+	for {
+		var reply Envelope
+		if err := readFrame(l.conn, MaxFrame, &reply); err != nil {
+			return
+		}
+		l.mu.Lock()
+		wait, ok := l.waits[reply.Number]
+		delete(l.waits, reply.Number)
+		l.mu.Unlock()
+		if ok {
+			wait <- reply
+		}
+	}
+}
+
+func (l *link) register() (uint64, chan Envelope, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waits) >= maxPending {
+		return 0, nil, jayerror.New("ask", KindBusy, "too many requests wait for the instance")
+	}
+	l.next++
+	wait := make(chan Envelope, 1)
+	l.waits[l.next] = wait
+	return l.next, wait, nil
+}
+
+func (l *link) unregister(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waits, number)
+}
+
+func (l *link) write(ctx context.Context) {
+	defer func() { go l.group.Stop() }()
+	for {
+		select {
+		case request := <-l.writes:
+			if err := writeFrame(l.conn, MaxFrame, &request); err != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/jay/jaypeer/frame.go
@@ -0,0 +1,95 @@
+// Package jaypeer carries messages between entry instances over TCP.
+//
+// A frame is a length of 4 bytes, the most significant first, and a msgpack
+// envelope. A connection starts with a handshake that proves to both sides
+// that the other holds the shared key. Requests and replies are matched by
+// number; a connection that stays silent is replaced.
+package jaypeer
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfield.example/jay/jayerror"
+)
+
+const (
+	// Version is the version of the envelope; both sides must have the same.
+	Version = 1
+	// MaxFrame bounds a frame in bytes; the largest is a snapshot of the configuration.
+	MaxFrame = 16 << 20
+	// maxHello bounds the frames of the handshake in bytes.
+	maxHello    = 1 << 10
+	lengthSize  = 4
+	writeBound  = 5 * time.Second
+	helloBound  = 3 * time.Second
+	nonceLength = 32
+)
+
+// Topic names what a request is about.
+type Topic string
+
+// Topics of requests.
+const (
+	// TopicDigest exchanges what both sides know of members and load.
+	TopicDigest Topic = "digest"
+	// TopicSnapshot asks for the configuration above a position.
+	TopicSnapshot Topic = "snapshot"
+	// TopicCall forwards a call to the home of its key.
+	TopicCall Topic = "call"
+	// TopicOutcomes hands over the outcomes of an instance that stops.
+	TopicOutcomes Topic = "outcomes"
+)
+
+// Envelope is one message of a connection.
+type Envelope struct {
+	Version int    `msgpack:"v"`
+	Number  uint64 `msgpack:"n"`
+	Reply   bool   `msgpack:"r"`
+	Topic   Topic  `msgpack:"t"`
+	// Refused is the reason of a reply without a body.
+	Refused string `msgpack:"e"`
+	Body    []byte `msgpack:"b"`
+}
+
+func readFrame(conn net.Conn, limit int, value any) error {
+	var header [lengthSize]byte
+	if _, err := io.ReadFull(conn, header[:]); err != nil {
+		return jayerror.Wrap("read", KindFrame, err)
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length == 0 || length > uint32(limit) { //nolint:gosec // Limits are small constants.
+		return jayerror.Newf("read", KindFrame, "length %d is not within 1 to %d", length, limit)
+	}
+	data := make([]byte, length)
+	if _, err := io.ReadFull(conn, data); err != nil {
+		return jayerror.Wrap("read", KindFrame, err)
+	}
+	if err := msgpack.Unmarshal(data, value); err != nil {
+		return jayerror.Wrap("read", KindFrame, err)
+	}
+	return nil
+}
+
+func writeFrame(conn net.Conn, limit int, value any) error {
+	data, err := msgpack.Marshal(value)
+	if err != nil {
+		return jayerror.Wrap("write", KindFrame, err)
+	}
+	if len(data) > limit {
+		return jayerror.Newf("write", KindFrame, "length %d is above %d", len(data), limit)
+	}
+	frame := make([]byte, lengthSize, lengthSize+len(data))
+	binary.BigEndian.PutUint32(frame, uint32(len(data))) //nolint:gosec // Checked against the limit.
+	if err := conn.SetWriteDeadline(time.Now().Add(writeBound)); err != nil {
+		return jayerror.Wrap("write", KindFrame, err)
+	}
+	if _, err := conn.Write(append(frame, data...)); err != nil {
+		return jayerror.Wrap("write", KindFrame, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/jay/jayroute/eject.go
@@ -0,0 +1,92 @@
+package jayroute
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// slowRatio is how many times slower than the median an upstream is ejected.
+	slowRatio = 3
+	// ejectShare is the part of a pool that may be ejected at once.
+	ejectShare = 1.0 / 3
+	// ejectLeast and ejectMost bound how long an ejection lasts.
+	ejectLeast = time.Second
+	ejectMost  = 30 * time.Second
+	// failuresBound is the number of failures in a row after which an upstream is ejected.
+	failuresBound = 3
+)
+
+// Fail records that an upstream broke a connection or could not be reached.
+func (t *Table) Fail(now time.Time, u *Upstream) {
+	u.failures++
+	if u.failures >= failuresBound {
+		t.eject(now, u)
+	}
+}
+
+// Resume records that a stalled stream gave a token again, or ended.
+func (t *Table) Resume(u *Upstream) {
+	u.stalled = max(0, u.stalled-1)
+}
+
+// Stall records that a stream of the upstream gave no token for several times its pace.
+func (t *Table) Stall(u *Upstream) {
+	u.stalled++
+}
+
+// Sweep ejects the upstreams that are several times slower than the median of
+// their pool, but never more than a third of it.
+func (t *Table) Sweep(now time.Time) {
+	for _, pool := range t.pools {
+		t.sweepPool(now, pool)
+	}
+}
+
+func (t *Table) sweepPool(now time.Time, pool *Pool) {
+	var paces []float64
+	for i := range pool.Size() {
+		if u := pool.at(i); u.observed {
+			paces = append(paces, u.slowness())
+		}
+	}
+	if len(paces) < 3 {
+		return
+	}
+	slices.Sort(paces)
+	median := paces[len(paces)/2]
+	for i := range pool.Size() {
+		u := pool.at(i)
+		slow := u.observed && u.slowness() > slowRatio*median
+		if slow && !now.Before(u.ejected) && pool.mayEject(now) {
+			t.eject(now, u)
+		}
+		if !slow && !now.Before(u.ejected) {
+			u.ejection = 0
+		}
+	}
+}
+
+// slowness combines pace and stalls into one figure to compare upstreams by.
+func (u *Upstream) slowness() float64 {
+	return u.pace * float64(1+u.stalled)
+}
+
+func (t *Table) eject(now time.Time, u *Upstream) {
+	u.ejection = min(ejectMost, max(ejectLeast, 2*u.ejection))
+	u.ejected = now.Add(u.ejection)
+	u.failures = 0
+	u.observed = false
+	u.pace, u.lead = firstPace.Seconds(), firstLead.Seconds()
+}
+
+// mayEject reports whether one more upstream of the pool may be ejected.
+func (p *Pool) mayEject(now time.Time) bool {
+	out := 1
+	for i := range p.Size() {
+		if now.Before(p.at(i).ejected) {
+			out++
+		}
+	}
+	return float64(out) <= ejectShare*float64(p.Size())
+}
--- /dev/null
+++ b/jay/jayroute/explain.go
@@ -0,0 +1,114 @@
+package jayroute
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// View is what a state dump shows of an upstream.
+type View struct {
+	Address string        `json:"address"`
+	Region  string        `json:"region"`
+	Slots   int           `json:"slots"`
+	Running int           `json:"running"`
+	Others  int           `json:"others"`
+	Leaving bool          `json:"leaving"`
+	Ejected bool          `json:"ejected"`
+	Stalled int           `json:"stalled"`
+	Pace    time.Duration `json:"pace"`
+	// ReportAge is the age of the newest load report, 0 where there is none.
+	ReportAge time.Duration `json:"reportAge"`
+}
+
+// Reason is the state of one upstream of a pool in view of a piece of work.
+type Reason struct {
+	Upstream string `json:"upstream"`
+	// Verdict is "may serve" or why the upstream may not.
+	Verdict string `json:"verdict"`
+	Near    bool   `json:"near"`
+	// Predicted is the expected time to completion.
+	Predicted time.Duration `json:"predicted"`
+}
+
+// Explain returns how each upstream of a pool stands for a piece of work, the
+// ones that may serve it first and by predicted completion.
+func (t *Table) Explain(now time.Time, pool *Pool, w Work) []Reason {
+	reasons := make([]Reason, 0, pool.Size())
+	for i := range pool.Size() {
+		u := pool.at(i)
+		seconds := u.predict(now, w, false)
+		reasons = append(reasons, Reason{
+			Upstream:  u.name,
+			Verdict:   u.verdict(now, w),
+			Near:      i < len(pool.near),
+			Predicted: time.Duration(seconds * float64(time.Second)),
+		})
+	}
+	slices.SortStableFunc(reasons, func(a, b Reason) int { return a.rank() - b.rank() })
+	return reasons
+}
+
+// Upstreams returns all upstreams by name.
+func (t *Table) Upstreams() []*Upstream {
+	list := make([]*Upstream, 0, len(t.upstreams))
+	for _, u := range t.upstreams {
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.name, b.name) })
+	return list
+}
+
+// View returns what a state dump shows of the upstream.
+func (u *Upstream) View(now time.Time) View {
+	view := View{
+		Address: u.spec.Address,
+		Region:  u.spec.Region,
+		Slots:   u.spec.Slots,
+		Running: u.running,
+		Others:  u.elsewhere(now),
+		Leaving: u.Leaving(),
+		Ejected: now.Before(u.ejected),
+		Stalled: u.stalled,
+		Pace:    u.Pace(),
+	}
+	if !u.reported.IsZero() {
+		view.ReportAge = now.Sub(u.reported)
+	}
+	return view
+}
+
+// verdictServe is the verdict on an upstream that may take the work.
+const verdictServe = "may serve"
+
+func (r Reason) rank() int {
+	switch {
+	case r.Verdict == verdictServe && r.Near:
+		return 0
+	case r.Verdict == verdictServe:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func (u *Upstream) verdict(now time.Time, w Work) string {
+	switch {
+	case u.spec.Drain:
+		return "drained by configuration"
+	case u.listed:
+		return "leaving by the platform's list"
+	case u.leaving, u.report.Leaving:
+		return "leaving by its own answer"
+	case now.Before(u.ejected):
+		return "ejected as slow or failing"
+	case u.free(now) <= 0:
+		return "full"
+	case !u.fits(now, w):
+		return "no KV memory left"
+	case !u.accepts(now, w):
+		return "long work has its share"
+	default:
+		return verdictServe
+	}
+}
--- /dev/null
+++ b/jay/jayroute/pick.go
@@ -0,0 +1,145 @@
+package jayroute
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// probes is the number of random upstreams looked at before all are.
+	probes = 8
+	// longShare is the part of an upstream's slots that long work may hold.
+	longShare = 0.25
+	// prefixSlack is how much busier than the pool an upstream may be and still be
+	// preferred for its cached prefix.
+	prefixSlack = 1.25
+)
+
+// Pick returns the upstream that should serve the work now, or false where
+// none of the pool may take it.
+func (t *Table) Pick(now time.Time, pool *Pool, w Work) (*Upstream, bool) {
+	switch t.policy {
+	case PolicyRound:
+		return pool.round()
+	case PolicyLeast:
+		return pool.least()
+	case PolicyPredict:
+	}
+	if u := t.best(now, pool.near, w); u != nil {
+		return u, true
+	}
+	u := t.best(now, pool.far, w)
+	return u, u != nil
+}
+
+// best draws two upstreams that may take the work, adds the one that holds
+// its prefix, and returns the one with the earliest predicted completion.
+func (t *Table) best(now time.Time, list []*Upstream, w Work) *Upstream {
+	if len(list) == 0 {
+		return nil
+	}
+	first := t.draw(now, list, w, nil)
+	if first == nil {
+		return nil
+	}
+	choice, least := first, first.predict(now, w, false)
+	if second := t.draw(now, list, w, first); second != nil {
+		if seconds := second.predict(now, w, false); seconds < least {
+			choice, least = second, seconds
+		}
+	}
+	if holder := holder(now, list, w); holder != nil {
+		if holder.predict(now, w, true) < least*prefixSlack {
+			choice = holder
+		}
+	}
+	return choice
+}
+
+// draw returns a random upstream that may take the work, other than one.
+func (t *Table) draw(now time.Time, list []*Upstream, w Work, other *Upstream) *Upstream {
+	for range probes {
+		u := list[t.source.IntN(len(list))]
+		if u != other && u.accepts(now, w) {
+			return u
+		}
+	}
+	start := t.source.IntN(len(list))
+	for i := range list {
+		u := list[(start+i)%len(list)]
+		if u != other && u.accepts(now, w) {
+			return u
+		}
+	}
+	return nil
+}
+
+// accepts reports whether the upstream may be given the work.
+func (u *Upstream) accepts(now time.Time, w Work) bool {
+	if u.Leaving() || u == w.Avoid || now.Before(u.ejected) {
+		return false
+	}
+	if u.free(now) <= 0 || !u.fits(now, w) {
+		return false
+	}
+	return !w.Long || float64(u.long) < math.Max(1, longShare*float64(u.spec.Slots))
+}
+
+// holder returns the upstream most likely to hold the work's prefix: the
+// highest rendezvous score among those that may take the work.
+func holder(now time.Time, list []*Upstream, w Work) *Upstream {
+	if w.Prefix == 0 {
+		return nil
+	}
+	var best *Upstream
+	var top uint64
+	for _, u := range list {
+		if score := mix(u.hash ^ w.Prefix); best == nil || score > top {
+			best, top = u, score
+		}
+	}
+	if !best.accepts(now, w) {
+		return nil
+	}
+	return best
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// round is the baseline that takes all upstreams in turn.
+func (p *Pool) round() (*Upstream, bool) {
+	for range p.Size() {
+		p.turn++
+		u := p.at(p.turn % p.Size())
+		if !u.Leaving() {
+			return u, true
+		}
+	}
+	return nil, false
+}
+
+// least is the baseline that takes the upstream with the least own work.
+func (p *Pool) least() (*Upstream, bool) {
+	var best *Upstream
+	for i := range p.Size() {
+		u := p.at(i)
+		if !u.Leaving() && (best == nil || u.running < best.running) {
+			best = u
+		}
+	}
+	return best, best != nil
+}
+
+func (p *Pool) at(i int) *Upstream {
+	if i < len(p.near) {
+		return p.near[i]
+	}
+	return p.far[i-len(p.near)]
+}
--- /dev/null
+++ b/jaybench/main.go
@@ -0,0 +1,12 @@
+// Command jaybench holds jayfield's stand-ins, demonstration and measurements.
+package main
+
+import (
+	"os"
+
+	"jayfield.example/jaybench.bin/internal/jaycommand"
+)
+
+func main() {
+	os.Exit(jaycommand.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/jayfield/main.go
@@ -0,0 +1,12 @@
+// Command jayfield is the command line of jayfield's operators and callers.
+package main
+
+import (
+	"os"
+
+	"jayfield.example/jayfield.bin/internal/jaycommand"
+)
+
+func main() {
+	os.Exit(jaycommand.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
