--- a/jay/jaycall/failure.go
+++ b/jay/jaycall/failure.go
@@ -55,7 +55,7 @@
 
 // failureOf translates an error of any package.
 func failureOf(err error) failure {
-	var refused *jayqueue.Refusal
+	var refused *jayqueue.RefusalError
 	if errors.As(err, &refused) {
 		return failure{http.StatusTooManyRequests, KindBusy, jayonce.RunNot, refused.Retry, refused.Error()}
 	}
--- a/jay/jaycall/query.go
+++ b/jay/jaycall/query.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"jayfield.example/jay/jayentry"
 )
 
@@ -46,6 +48,5 @@
 
 func writeJSON(w http.ResponseWriter, value any) error {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value) // A caller that went away needs no answer.
-	return nil
+	return errors.Wrap(json.NewEncoder(w).Encode(value), "write to caller")
 }
--- a/jay/jaycall/service.go
+++ b/jay/jaycall/service.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	if service.Once && !idempotent(r.Method) {
-		return f.once(w, r, name, service, left)
+		return f.once(w, r, name, left)
 	}
 	if err := f.limited(r); err != nil {
 		return err
@@ -141,7 +141,7 @@
 }
 
 // once serves work that runs at most once, at the home of its key.
-func (f *Front) once(w http.ResponseWriter, r *request, name string, service *jayconfig.Service, left time.Duration) error {
+func (f *Front) once(w http.ResponseWriter, r *request, name string, left time.Duration) error {
 	key := r.Header.Get(HeaderKey)
 	home, ticketed := jayonce.HomeOf(key)
 	if !ticketed {
--- a/jay/jaycall/sink.go
+++ b/jay/jaycall/sink.go
@@ -54,12 +54,12 @@
 	if err := s.begin(); err != nil {
 		return err
 	}
-	b := append(s.buf[:0], "id: "...)
-	b = append(b, s.prefix...)
-	b = strconv.AppendInt(b, event.Offset, 10)
-	b = append(b, "\ndata: "...)
-	b = append(b, event.Data...)
-	s.buf = append(b, "\n\n"...)
+	s.buf = append(s.buf[:0], "id: "...)
+	s.buf = append(s.buf, s.prefix...)
+	s.buf = strconv.AppendInt(s.buf, event.Offset, 10)
+	s.buf = append(s.buf, "\ndata: "...)
+	s.buf = append(s.buf, event.Data...)
+	s.buf = append(s.buf, "\n\n"...)
 	if _, err := s.w.Write(s.buf); err != nil {
 		return errors.Wrap(err, "write to caller")
 	}
--- a/jay/jaydispatch/dispatcher.go
+++ b/jay/jaydispatch/dispatcher.go
@@ -48,7 +48,7 @@
 
 // Acquire waits for an upstream. The grant must be released. An error means
 // that the work was not assigned and did not run; a refusal at the door is a
-// *jayqueue.Refusal.
+// *jayqueue.RefusalError.
 func (d *Dispatcher) Acquire(ctx context.Context, request Request) (Grant, error) {
 	w := &waiter{request: request, reply: make(chan reply, 1)}
 	err := d.owner.Tell(ctx, func(s *state) { s.submit(time.Now(), w) })
--- a/jay/jaydispatch/state.go
+++ b/jay/jaydispatch/state.go
@@ -219,7 +219,7 @@
 
 func refuseLate(late []*jayqueue.Item[*waiter]) {
 	for _, item := range late {
-		err := &jayqueue.Refusal{
+		err := &jayqueue.RefusalError{
 			Err:   jayerror.New("acquire", jayqueue.KindDeadline, "answer would be later than the deadline"),
 			Retry: time.Second,
 		}
--- a/jay/jayini/document.go
+++ b/jay/jayini/document.go
@@ -30,7 +30,7 @@
 	}
 	parsed, err := ini.LoadSources(options, []byte(text))
 	if err != nil {
-		return nil, jayerror.Wrap("parse", KindSyntax, &Fault{File: file, Reason: err.Error()})
+		return nil, jayerror.Wrap("parse", KindSyntax, &FaultError{File: file, Reason: err.Error()})
 	}
 	lines := locate(text)
 	doc := &Document{File: file}
@@ -80,7 +80,7 @@
 	section := ini.DefaultSection
 	for i, line := range strings.Split(text, "\n") {
 		line = strings.TrimSpace(line)
-		at := position{}
+		var at position
 		switch {
 		case line == "" || line[0] == '#' || line[0] == ';':
 			continue
--- a/jay/jayini/error.go
+++ b/jay/jayini/error.go
@@ -22,8 +22,8 @@
 // Error is the error type of the package.
 type Error = jayerror.Error[Kind]
 
-// Fault is the place and the reason of one error in a document.
-type Fault struct {
+// FaultError is the place and the reason of one error in a document.
+type FaultError struct {
 	// File is the name of the document.
 	File string
 	// Line counts from 1 and is 0 where the fault has no line.
@@ -35,7 +35,7 @@
 }
 
 // Error returns the fault in one line.
-func (f *Fault) Error() string {
+func (f *FaultError) Error() string {
 	var b strings.Builder
 	b.WriteString(f.File)
 	if f.Line > 0 {
--- a/jay/jayini/section.go
+++ b/jay/jayini/section.go
@@ -82,7 +82,7 @@
 }
 
 func (s Section) fault(op string, kind Kind, key, reason string) error {
-	f := &Fault{File: s.File, Line: s.Line, Section: s.Name, Key: key, Reason: reason}
+	f := &FaultError{File: s.File, Line: s.Line, Section: s.Name, Key: key, Reason: reason}
 	for _, k := range s.Keys {
 		if k.Name == key {
 			f.Line = k.Line
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -144,7 +144,7 @@
 	i.engines = jayengine.NewClient()
 	i.rates = jaylimit.New()
 	i.dispatcher = jaydispatch.New(jaydispatch.Options{
-		Region: s.Region, Policy: i.policy, Limit: s.Queue, Seed: uint64(time.Now().UnixNano()), //nolint:gosec // Any seed will do.
+		Region: s.Region, Policy: i.policy, Limit: s.Queue, Seed: uint64(time.Now().UnixNano()),
 	})
 	worker := jaycall.NewWorker()
 	issuer := jayonce.NewIssuer(i.incarnation, time.Now(), s.Ticket)
--- a/jay/jayinstance/listeners.go
+++ b/jay/jayinstance/listeners.go
@@ -1,6 +1,7 @@
 package jayinstance
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -31,7 +32,7 @@
 		address string
 		target  *net.Listener
 	}{{settings.Caller, &l.caller}, {settings.Operator, &l.operator}, {settings.Peer, &l.peer}} {
-		listener, err := net.Listen("tcp", item.address)
+		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", item.address)
 		if err != nil {
 			l.close()
 			return l, errors.Wrap(err, "listen; choose a free port in section [listen]")
--- a/jay/jayinstance/query.go
+++ b/jay/jayinstance/query.go
@@ -66,8 +66,9 @@
 }
 
 func (i *Instance) dumpMembers() []memberState {
-	var list []memberState
-	for _, m := range i.mesh.Members() {
+	members := i.mesh.Members()
+	list := make([]memberState, 0, len(members))
+	for _, m := range members {
 		list = append(list, memberState{
 			Name: m.Name, Incarnation: m.Incarnation, Zone: m.Zone, Leaving: m.Leaving, Silent: m.Silent,
 			Config: m.Config, Load: m.Load, HeardAge: time.Since(m.Heard),
--- a/jay/jayonce/ticket.go
+++ b/jay/jayonce/ticket.go
@@ -69,8 +69,8 @@
 // Issue returns a fresh ticket for a caller.
 func (i *Issuer) Issue(now time.Time, caller string) string {
 	payload := make([]byte, 8+nonceSize)
-	binary.BigEndian.PutUint64(payload, uint64(now.Sub(i.start)))
-	_, _ = rand.Read(payload[8:]) // It never fails.
+	binary.BigEndian.PutUint64(payload, uint64(now.Sub(i.start))) //nolint:gosec // Time passes forward only.
+	_, _ = rand.Read(payload[8:])                                 // It never fails.
 	text := base64.RawURLEncoding.EncodeToString(payload)
 	mac := base64.RawURLEncoding.EncodeToString(i.sign(caller, text))
 	return strings.Join([]string{ticketPrefix, i.incarnation, text, mac}, ".")
--- a/jay/jayqueue/error.go
+++ b/jay/jayqueue/error.go
@@ -20,24 +20,24 @@
 // Error is the error type of the package.
 type Error = jayerror.Error[Kind]
 
-// Refusal is an error with the time after which trying again makes sense.
-type Refusal struct {
+// RefusalError is an error with the time after which trying again makes sense.
+type RefusalError struct {
 	Err   *Error
 	Retry time.Duration
 }
 
 // Error returns the refusal in one line.
-func (r *Refusal) Error() string {
+func (r *RefusalError) Error() string {
 	return r.Err.Error()
 }
 
 // Unwrap returns the kind of the refusal.
-func (r *Refusal) Unwrap() error {
+func (r *RefusalError) Unwrap() error {
 	return r.Err
 }
 
-func refuse(kind Kind, retry time.Duration, message string) *Refusal {
-	return &Refusal{Err: jayerror.New("push", kind, message), Retry: max(retry, leastRetry)}
+func refuse(kind Kind, retry time.Duration, message string) *RefusalError {
+	return &RefusalError{Err: jayerror.New("push", kind, message), Retry: max(retry, leastRetry)}
 }
 
 // leastRetry is the least time that a refused caller is told to wait.
--- a/jay/jayqueue/queue.go
+++ b/jay/jayqueue/queue.go
@@ -7,6 +7,7 @@
 package jayqueue
 
 import (
+	"slices"
 	"time"
 
 	"jayfield.example/jay/jayconfig"
@@ -27,8 +28,10 @@
 	long     bool
 }
 
-// priorities are in the order in which they are served.
-var priorities = []jayconfig.Priority{jayconfig.PriorityHigh, jayconfig.PriorityNormal, jayconfig.PriorityLow}
+// priorities returns the priorities in the order in which they are served.
+func priorities() [3]jayconfig.Priority {
+	return [3]jayconfig.Priority{jayconfig.PriorityHigh, jayconfig.PriorityNormal, jayconfig.PriorityLow}
+}
 
 // Queue is the waiting work of one pool.
 type Queue[T any] struct {
@@ -43,7 +46,7 @@
 // New returns a queue of at most limit items.
 func New[T any](limit int) *Queue[T] {
 	q := &Queue[T]{bands: make(map[bandKey]*band[T]), limit: limit}
-	for _, p := range priorities {
+	for _, p := range priorities() {
 		q.bands[bandKey{p, false}] = newBand[T]()
 		q.bands[bandKey{p, true}] = newBand[T]()
 	}
@@ -68,7 +71,7 @@
 	}
 }
 
-// Push adds an item, or refuses it with a *Refusal. Slots is the capacity
+// Push adds an item, or refuses it with a *RefusalError. Slots is the capacity
 // of the pool in slots, used until a drain rate is known.
 func (q *Queue[T]) Push(now time.Time, item *Item[T], slots int) error {
 	if q.count >= q.limit {
@@ -153,7 +156,7 @@
 
 // choose returns the band to serve next, nil where none waits.
 func (q *Queue[T]) choose(long bool) *band[T] {
-	first := q.firstBand(long, priorities)
+	first := q.firstBand(long, priorities())
 	if first == nil {
 		return nil
 	}
@@ -164,7 +167,7 @@
 	return first
 }
 
-func (q *Queue[T]) firstBand(long bool, order []jayconfig.Priority) *band[T] {
+func (q *Queue[T]) firstBand(long bool, order [3]jayconfig.Priority) *band[T] {
 	for _, p := range order {
 		if b := q.bands[bandKey{p, false}]; b.count > 0 {
 			return b
@@ -177,8 +180,9 @@
 }
 
 func (q *Queue[T]) lowestBand(long bool) *band[T] {
-	reversed := []jayconfig.Priority{jayconfig.PriorityLow, jayconfig.PriorityNormal, jayconfig.PriorityHigh}
-	return q.firstBand(long, reversed)
+	order := priorities()
+	slices.Reverse(order[:])
+	return q.firstBand(long, order)
 }
 
 func (q *Queue[T]) popHead(b *band[T]) {
@@ -191,7 +195,7 @@
 // and its caller's fair share of its own, but never more than all that waits ahead.
 func (q *Queue[T]) predict(item *Item[T], slots int) time.Duration {
 	ahead := 0.0
-	for _, p := range priorities {
+	for _, p := range priorities() {
 		if p == item.Priority {
 			break
 		}
@@ -219,7 +223,7 @@
 
 func (q *Queue[T]) waitsBelow(priority jayconfig.Priority) bool {
 	below := false
-	for _, p := range priorities {
+	for _, p := range priorities() {
 		if below && q.bands[bandKey{p, false}].count+q.bands[bandKey{p, true}].count > 0 {
 			return true
 		}
--- a/jay/jaysetting/read.go
+++ b/jay/jaysetting/read.go
@@ -157,12 +157,12 @@
 	if file == "" {
 		file = "settings"
 	}
-	return errors.WithStack(&jayini.Fault{File: file, Section: section, Key: key, Reason: reason})
+	return errors.WithStack(&jayini.FaultError{File: file, Section: section, Key: key, Reason: reason})
 }
 
 // clean returns the fault alone, without the words of the parsers around it.
 func clean(err error) error {
-	var found *jayini.Fault
+	var found *jayini.FaultError
 	if errors.As(err, &found) {
 		return found
 	}
--- a/jay/jaysite/site.go
+++ b/jay/jaysite/site.go
@@ -18,6 +18,9 @@
 	"jayfield.example/jay/jaystandin"
 )
 
+// loopback is a free port of this machine.
+const loopback = "127.0.0.1:0"
+
 // Site is a running site.
 type Site struct {
 	plan      Plan
@@ -93,7 +96,7 @@
 
 // Caller returns a client of an account, in a region.
 func (s *Site) Caller(account Account, region string) *jayclient.Caller {
-	var seeds []string
+	seeds := make([]string, 0, len(s.Instances))
 	for _, instance := range s.Instances {
 		seeds = append(seeds, "http://"+instance.Addresses().Caller)
 	}
@@ -124,7 +127,7 @@
 
 // Serve serves a handler on loopback and returns its base address.
 func (s *Site) Serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", loopback)
 	if err != nil {
 		return "", errors.WithStack(err)
 	}
@@ -140,7 +143,7 @@
 	settings.Name = fmt.Sprintf("entry-%d", n+1)
 	settings.Region = s.plan.region(n)
 	settings.Zone = zoneOf(settings.Region)
-	settings.Caller, settings.Operator, settings.Peer = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	settings.Caller, settings.Operator, settings.Peer = loopback, loopback, loopback
 	settings.Register = true
 	settings.OperatorKey, settings.PeerKey = OperatorKey, PeerKey
 	settings.Lifetime = s.plan.Lifetime
--- a/jay/jaystandin/answer.go
+++ b/jay/jaystandin/answer.go
@@ -9,9 +9,9 @@
 )
 
 // vocabulary are the words of answers.
-var vocabulary = strings.Fields(`the order of inserts planner diary refill ships on pallet two with dated
+const vocabulary = `the order of inserts planner diary refill ships on pallet two with dated
 sheets for branch stock count low reorder before noon roof guard bracket row spacing eave ridge slope snow
-load survey drawing fixing rafter check valley anchor batten tile crew booking confirmed village`)
+load survey drawing fixing rafter check valley anchor batten tile crew booking confirmed village`
 
 // DefaultAnswerTokens is the length of an answer to a request without a bound.
 const DefaultAnswerTokens = 24
@@ -21,9 +21,10 @@
 func Tokens(prompt string, count int) []string {
 	seed := xxhash.Sum64String(prompt)
 	source := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // Answers need no secrets.
+	words := strings.Fields(vocabulary)
 	tokens := make([]string, count)
 	for i := range tokens {
-		tokens[i] = vocabulary[source.IntN(len(vocabulary))] + " "
+		tokens[i] = words[source.IntN(len(words))] + " "
 	}
 	return tokens
 }
--- a/jay/jaystandin/batch.go
+++ b/jay/jaystandin/batch.go
@@ -50,12 +50,21 @@
 	pre     float64
 }
 
-// rank orders priorities.
-var rank = map[string]int{"high": 0, "normal": 1, "low": 2}
+// rank orders priorities: the lowest goes first.
+func rank(priority string) int {
+	switch priority {
+	case "high":
+		return 0
+	case "low":
+		return 2
+	default:
+		return 1
+	}
+}
 
 func (b *batch) add(s *sequence) {
 	at := len(b.waiting)
-	for at > 0 && rank[b.waiting[at-1].priority] > rank[s.priority] {
+	for at > 0 && rank(b.waiting[at-1].priority) > rank(s.priority) {
 		at--
 	}
 	b.waiting = append(b.waiting, nil)
--- a/jay/jaystandin/generate.go
+++ b/jay/jaystandin/generate.go
@@ -48,17 +48,8 @@
 		emitted := s.emitted
 		e.mu.Unlock()
 		for ; a.offset < emitted; a.offset++ {
-			if faults.BreakAfter > 0 && a.offset >= faults.BreakAfter {
-				panic(http.ErrAbortHandler)
-			}
-			if faults.MuteAfter > 0 && a.offset >= faults.MuteAfter {
-				<-r.Context().Done()
-				return nil
-			}
+			misbehave(r, out, s, a.offset, faults)
 			out.event(out.id, a.offset, s.tokens[a.offset])
-			if faults.Cross && a.offset == 2 {
-				out.event(out.id, 1, s.tokens[1])
-			}
 		}
 		if emitted >= len(s.tokens) {
 			out.finish(len(s.tokens), s.prompt)
@@ -78,6 +69,21 @@
 	}
 }
 
+// misbehave carries out the faults of a stream that are due at an offset.
+func misbehave(r *http.Request, out *writer, s *sequence, offset int, faults EngineFaults) {
+	if faults.BreakAfter > 0 && offset >= faults.BreakAfter {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.MuteAfter > 0 && offset >= faults.MuteAfter {
+		out.flush.Flush()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Cross && offset == 3 {
+		out.event(out.id, 1, s.tokens[1])
+	}
+}
+
 func (e *Engine) complete(s *sequence) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -136,7 +142,8 @@
 }
 
 func (w *writer) head(id string, offset int) []byte {
-	b := append(w.buf[:0], "id: "...)
+	b := w.buf[:0]
+	b = append(b, "id: "...)
 	b = append(b, id...)
 	b = append(b, ':')
 	b = strconv.AppendInt(b, int64(offset), 10)
--- a/jay/jaystandin/platform.go
+++ b/jay/jaystandin/platform.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/uptrace/bunrouter"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -101,9 +102,9 @@
 	faults := p.currentFaults()
 	var record jaylog.Record
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxRecordBytes))
-	if err != nil || faults.Down || msgpack.Unmarshal(data, &record) != nil {
+	if faults.Down || err != nil || msgpack.Unmarshal(data, &record) != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return nil
+		return err
 	}
 	time.Sleep(faults.Latency)
 	offset := p.stream(jaylog.Stream(r.Param("name"))).append(record)
@@ -157,7 +158,7 @@
 
 func (p *Platform) putInstance(w http.ResponseWriter, r bunrouter.Request) error {
 	var instance jaylist.Instance
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxRecordBytes)).Decode(&instance); err != nil {
+	if json.NewDecoder(io.LimitReader(r.Body, maxRecordBytes)).Decode(&instance) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return nil
 	}
@@ -167,10 +168,14 @@
 
 func (p *Platform) read(w http.ResponseWriter, r bunrouter.Request) error {
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
-	wait, waitErr := time.ParseDuration(r.URL.Query().Get("wait"))
-	if err != nil || waitErr != nil {
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
-		return nil
+		return errors.WithStack(err)
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return errors.WithStack(err)
 	}
 	if p.currentFaults().Down {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/jay/jaystandin/service.go
+++ b/jay/jaystandin/service.go
@@ -34,6 +34,12 @@
 	Order  string `json:"order"`
 }
 
+// Stock is the service's answer to a question.
+type Stock struct {
+	Path  string `json:"path"`
+	Count int    `json:"stock"`
+}
+
 // NewService returns a service that has run nothing.
 func NewService() *Service {
 	return &Service{runs: make(map[string]int)}
@@ -69,7 +75,7 @@
 	time.Sleep(faults.Delay)
 	w.Header().Set("Content-Type", "application/json")
 	if r.Method == http.MethodGet {
-		_ = json.NewEncoder(w).Encode(map[string]any{"path": r.URL.Path, "stock": len(r.URL.Path)})
+		s.reply(w, Stock{Path: r.URL.Path, Count: len(r.URL.Path)})
 		return
 	}
 	order := gjson.GetBytes(body, "order").String()
@@ -77,7 +83,7 @@
 	if broken {
 		panic(http.ErrAbortHandler)
 	}
-	_ = json.NewEncoder(w).Encode(receipt)
+	s.reply(w, receipt)
 }
 
 // SetFaults replaces the service's faults.
@@ -93,6 +99,14 @@
 	return s.faults
 }
 
+func (s *Service) reply(w http.ResponseWriter, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
+
 func (s *Service) run(order string) (Receipt, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/jayfieldd/internal/jaydaemon/platform.go
+++ b/jayfieldd/internal/jaydaemon/platform.go
@@ -1,6 +1,7 @@
 package jaydaemon
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -21,7 +22,7 @@
 }
 
 func startPlatform(log *slog.Logger) (*platform, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
