--- a/jay/jaycall/relay.go
+++ b/jay/jaycall/relay.go
@@ -107,6 +107,9 @@
 	defer stream.Close()
 	out.served(f.prefix(cursor{request: c.from.request, upstream: grant.Upstream}, c.caller.Name, c.request.body), grant.Upstream)
 	err = f.pass(stream, out, state, progress)
+	if jayerror.Is(err, jayengine.KindSilent) {
+		f.Metrics.Add(jaymetric.StreamsSilent, 1)
+	}
 	f.Metrics.Add(jaymetric.EventsDropped, int64(stream.Dropped()))
 	return err
 }
@@ -156,9 +159,6 @@
 	default:
 		result = jaydispatch.ResultUnused
 	}
-	if jayerror.Is(err, jayengine.KindSilent) {
-		p.front.Metrics.Add(jaymetric.StreamsSilent, 1)
-	}
 	p.front.Metrics.Add(jaymetric.Tokens, int64(p.tokens))
 	took := time.Duration(0)
 	if p.tokens > 0 {
--- a/jay/jayinstance/query.go
+++ b/jay/jayinstance/query.go
@@ -76,3 +76,14 @@
 	}
 	return list
 }
+
+// Known returns the number of usable instances that this one knows, itself included.
+func (i *Instance) Known() int {
+	known := 0
+	for _, m := range i.mesh.Members() {
+		if m.Usable() {
+			known++
+		}
+	}
+	return known
+}
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -133,9 +133,16 @@
 	m.tick(ctx)
 }
 
-// List takes in the platform's list.
+// List takes in the platform's list, and gets in touch with instances that are new on it.
 func (m *Mesh) List(list []jaylist.Instance) {
-	_ = m.owner.Tell(context.Background(), func(s *state) { s.view.List(list) })
+	seeds := 0
+	_ = m.owner.Ask(context.Background(), func(s *state) {
+		s.view.List(list)
+		seeds = len(s.view.Seeds())
+	})
+	if seeds > 0 {
+		m.group.Go(m.tick)
+	}
 }
 
 // Watched takes in a load report that this instance fetched itself.
@@ -294,10 +301,8 @@
 			list = append(list, contact)
 		}
 	}
-	if far {
-		for _, seed := range s.view.Seeds() {
-			list = append(list, jaymember.Status{Member: jaymember.Member{Name: seed.Name, Peer: seed.Peer, Zone: seed.Zone}})
-		}
+	for _, seed := range s.view.Seeds() {
+		list = append(list, jaymember.Status{Member: jaymember.Member{Name: seed.Name, Peer: seed.Peer, Zone: seed.Zone}})
 	}
 	return list
 }
--- a/jay/jaymesh/query.go
+++ b/jay/jaymesh/query.go
@@ -24,8 +24,11 @@
 	return jayentry.Rank(region, members, source)
 }
 
-// InForce counts the members that have applied an offset, and all live members.
+// InForce counts the members that have applied an offset, and all that are live or listed.
 func (m *Mesh) InForce(offset int64) (inForce, live int) {
+	ctx, cancel := context.WithTimeout(context.Background(), queryBound)
+	defer cancel()
+	_ = m.owner.Ask(ctx, func(s *state) { live = len(s.view.Seeds()) })
 	for _, member := range m.Members() {
 		if member.Silent {
 			continue
--- /dev/null
+++ b/jay/jaysite/fault_test.go
@@ -0,0 +1,226 @@
+package jaysite_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"jayfield.example/jay/jayclient"
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jaysetting"
+	"jayfield.example/jay/jaysite"
+	"jayfield.example/jay/jaystandin"
+)
+
+// start starts a configured site that ends with the test.
+func start(t *testing.T, change func(*jaysite.Plan)) (*jaysite.Site, context.Context) {
+	t.Helper()
+	plan := jaysite.DefaultPlan()
+	plan.Fatal = func(rule string) { t.Error("invariant broken:", rule) }
+	if change != nil {
+		change(&plan)
+	}
+	site, err := jaysite.Start(plan, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Stop)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	if _, err := site.Configure(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return site, ctx
+}
+
+func account(name string) jaysite.Account {
+	return jaysite.Account{Name: name, Key: name + "-key"}
+}
+
+func chat(prompt string, tokens int) []byte {
+	return fmt.Appendf(nil, `{"model":"assistant","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)
+}
+
+func TestStreamUnderEngineFaults(t *testing.T) {
+	tests := map[string]struct {
+		faults  jaystandin.EngineFaults
+		counter jaymetric.Name
+	}{
+		"connection breaks": {jaystandin.EngineFaults{BreakAfter: 5}, jaymetric.StreamsResumed},
+		"connection silent": {jaystandin.EngineFaults{MuteAfter: 5}, jaymetric.StreamsSilent},
+		"events crossed":    {jaystandin.EngineFaults{Cross: true}, jaymetric.EventsDropped},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			site, ctx := start(t, func(p *jaysite.Plan) {
+				p.Instances, p.Engines = 1, 1
+				p.Adjust = func(s *jaysetting.Settings) { s.Limits.Interval = 300 * time.Millisecond }
+			})
+			site.Engines[0].SetFaults(test.faults)
+			caller := site.Caller(account("shop-12"), "amman")
+			got, err := caller.Stream(ctx, chat("are there inserts", 30), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got.Text != jaystandin.Answer("are there inserts", 30) {
+				t.Errorf("answer is not whole: %q", got.Text)
+			}
+			if site.Instances[0].Metrics().Value(test.counter) == 0 {
+				t.Errorf("counter %s is 0", test.counter)
+			}
+		})
+	}
+}
+
+func TestStreamGoesOnWhenItsInstanceIsKilled(t *testing.T) {
+	site, ctx := start(t, nil)
+	caller := site.Caller(account("shop-12"), "amman")
+	address, err := caller.Address(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kill sync.Once
+	tokens := 0
+	got, err := caller.Stream(ctx, chat("read my order back", 80), func(string) {
+		if tokens++; tokens < 10 {
+			return
+		}
+		kill.Do(func() {
+			for _, instance := range site.Instances {
+				if "http://"+instance.Addresses().Caller == address {
+					go instance.Kill()
+				}
+			}
+		})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Resumes == 0 || got.Text != jaystandin.Answer("read my order back", 80) {
+		t.Errorf("resumes = %d, tokens = %d", got.Resumes, got.Tokens)
+	}
+}
+
+func TestCallerCannotResumeAnothersStream(t *testing.T) {
+	site, ctx := start(t, nil)
+	shop, desk := site.Caller(account("shop-12"), ""), site.Caller(account("desk-3"), "")
+	address, err := shop.Address(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := chat("what did I order", 10)
+	response, err := shop.Do(ctx, address, http.MethodPost, "/v1/chat/completions", nil, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data := make([]byte, 200)
+	n, _ := response.Body.Read(data)
+	_ = response.Body.Close()
+	id, _, _ := strings.Cut(strings.TrimPrefix(string(data[:n]), "id: "), "\n")
+	tests := map[string]struct {
+		caller *jayclient.Caller
+		body   []byte
+		status int
+	}{
+		"own":           {shop, body, http.StatusOK},
+		"other caller":  {desk, body, http.StatusBadRequest},
+		"other request": {shop, chat("something else", 10), http.StatusBadRequest},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			response, err := test.caller.Do(ctx, address, http.MethodPost, "/v1/chat/completions", http.Header{"Last-Event-ID": {id}}, test.body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			if response.StatusCode != test.status {
+				t.Errorf("status = %d, want %d", response.StatusCode, test.status)
+			}
+		})
+	}
+}
+
+func TestCallerThatLeavesCancelsItsWork(t *testing.T) {
+	site, ctx := start(t, func(p *jaysite.Plan) { p.Engines = 1 })
+	caller := site.Caller(account("shop-12"), "")
+	short, cancel := context.WithCancel(ctx)
+	_, err := caller.Stream(short, chat("a long answer", 4000), func(string) { cancel() })
+	if err == nil {
+		t.Fatal("stream ended although its caller left")
+	}
+	for site.Engines[0].Working() > 0 {
+		if ctx.Err() != nil {
+			t.Fatal("work goes on at the engine")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if _, cancelled := site.Engines[0].Served(); cancelled != 1 {
+		t.Errorf("cancelled = %d, want 1", cancelled)
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	site, ctx := start(t, func(p *jaysite.Plan) { p.Lifetime = 300 * time.Millisecond })
+	caller := site.Caller(account("shop-12"), "amman")
+	var wait sync.WaitGroup
+	for n := range 12 {
+		wait.Go(func() {
+			prompt := fmt.Sprintf("order %d", n)
+			got, err := caller.Stream(ctx, chat(prompt, 200), nil)
+			if err != nil || got.Resumes > 0 || got.Text != jaystandin.Answer(prompt, 200) {
+				t.Errorf("stream %d: resumes = %d, tokens = %d, error = %v", n, got.Resumes, got.Tokens, err)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	if err := site.Instances[0].Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	wait.Wait()
+	answer, err := caller.Entries(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, entry := range answer.Entries {
+		if entry.Name == "entry-1" {
+			t.Error("stopped instance is still given to callers")
+		}
+	}
+}
+
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	tests := map[string]func(t *testing.T, ctx context.Context, site *jaysite.Site){
+		"own answer": func(_ *testing.T, _ context.Context, site *jaysite.Site) {
+			site.Engines[0].SetFaults(jaystandin.EngineFaults{Leaving: true})
+		},
+		"configuration": func(t *testing.T, ctx context.Context, site *jaysite.Site) {
+			operator := site.Operator(1)
+			text := strings.Replace(site.Document(), "address = "+site.Engines[0].Address+"\n", "address = "+site.Engines[0].Address+"\ndrain = yes\n", 1)
+			if _, err := operator.Publish(ctx, "drain.ini", text, true); err != nil {
+				t.Fatal(err)
+			}
+		},
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			site, ctx := start(t, nil)
+			leave(t, ctx, site)
+			time.Sleep(1500 * time.Millisecond)
+			before, _ := site.Engines[0].Served()
+			caller := site.Caller(account("shop-12"), "amman")
+			for n := range 20 {
+				if _, err := caller.Stream(ctx, chat(fmt.Sprint("stock ", n), 4), nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if after, _ := site.Engines[0].Served(); after != before {
+				t.Errorf("leaving engine got %d requests", after-before)
+			}
+		})
+	}
+}
--- a/jay/jaysite/site.go
+++ b/jay/jaysite/site.go
@@ -94,6 +94,23 @@
 	return instance, nil
 }
 
+// AwaitMembers waits until every running instance knows all others.
+func (s *Site) AwaitMembers(ctx context.Context) error {
+	for _, instance := range s.Instances {
+		for instance.Known() < len(s.Instances) {
+			select {
+			case <-ctx.Done():
+				return errors.Wrap(ctx.Err(), "instances do not know each other")
+			case <-time.After(awaitPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// awaitPoll is how often a condition of the site is looked at.
+const awaitPoll = 5 * time.Millisecond
+
 // Caller returns a client of an account, in a region.
 func (s *Site) Caller(account Account, region string) *jayclient.Caller {
 	seeds := make([]string, 0, len(s.Instances))
@@ -110,6 +127,9 @@
 	if err := s.await(ctx, -1); err != nil {
 		return jayconfig.Report{}, err
 	}
+	if err := s.AwaitMembers(ctx); err != nil {
+		return jayconfig.Report{}, err
+	}
 	report, err := operator.Publish(ctx, "site.ini", s.Document(), true)
 	if err != nil {
 		return report, err
@@ -196,7 +216,7 @@
 		select {
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "configuration is not in force everywhere")
-		case <-time.After(5 * time.Millisecond):
+		case <-time.After(awaitPoll):
 		}
 	}
 }
--- a/jay/jaystandin/platform.go
+++ b/jay/jaystandin/platform.go
@@ -158,9 +158,9 @@
 
 func (p *Platform) putInstance(w http.ResponseWriter, r bunrouter.Request) error {
 	var instance jaylist.Instance
-	if json.NewDecoder(io.LimitReader(r.Body, maxRecordBytes)).Decode(&instance) != nil {
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxRecordBytes)).Decode(&instance); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
-		return nil
+		return errors.WithStack(err)
 	}
 	p.List(instance)
 	return nil
