Give orders under a lease by log order, and record what runs once

Cause: roles could not change, keys without tickets had no home, and an outcome died with its instance.

--- a/jay/jaycall/options.go
+++ b/jay/jaycall/options.go
@@ -1,6 +1,7 @@
 package jaycall
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -57,6 +58,12 @@
 	Forward(incarnation string, call jayonce.Call) (jayonce.Outcome, error)
 }
 
+// Intents decides the home of keys without a ticket.
+type Intents interface {
+	// Claim returns the incarnation that runs a key; an error means that it is not known.
+	Claim(ctx context.Context, key jayonce.Key) (string, error)
+}
+
 // Options are what a front is made of.
 type Options struct {
 	Region      string
@@ -68,6 +75,7 @@
 	Entries    Entries
 	Homes      Homes
 	Home       *jayonce.Home
+	Intents    Intents
 	Dispatcher *jaydispatch.Dispatcher
 	Engines    *jayengine.Client
 	Rates      *jaylimit.Limiter
--- a/jay/jaycall/service.go
+++ b/jay/jaycall/service.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	if service.Once && !idempotent(r.Method) {
-		return f.once(w, r, name, left)
+		return f.once(w, r, name, service.Intent, left)
 	}
 	if err := f.limited(r); err != nil {
 		return err
@@ -141,10 +141,10 @@
 }
 
 // once serves work that runs at most once, at the home of its key.
-func (f *Front) once(w http.ResponseWriter, r *request, name string, left time.Duration) error {
+func (f *Front) once(w http.ResponseWriter, r *request, name string, intent bool, left time.Duration) error {
 	key := r.Header.Get(HeaderKey)
 	home, ticketed := jayonce.HomeOf(key)
-	if !ticketed {
+	if key == "" || len(key) > jayonce.MaxKeySize || !ticketed && !intent {
 		f.offerTicket(w, r)
 		return jayerror.Newf("once", KindTicket, "service %s runs work at most once; send the ticket of %s as %s", name, HeaderTicket, HeaderKey)
 	}
@@ -158,12 +158,28 @@
 		Body:    r.body,
 		Left:    left - time.Since(r.start),
 		Region:  f.Region,
+		Intent:  !ticketed,
 	}
-	outcome := f.ask(r.Context(), home, call)
-	f.answer(w, r, outcome)
+	f.answer(w, r, f.run(r.Context(), home, call))
 	return nil
 }
 
+// run has the home of a key run a call. The log decides the home of a key without a ticket.
+func (f *Front) run(ctx context.Context, home string, call jayonce.Call) jayonce.Outcome {
+	if call.Intent {
+		ctx, cancel := context.WithTimeout(ctx, call.Left)
+		defer cancel()
+		started := time.Now()
+		winner, err := f.Intents.Claim(ctx, call.Key)
+		if err != nil {
+			return jayonce.Outcome{Run: jayonce.RunUnknown, Reason: err.Error()}
+		}
+		home = winner
+		call.Left -= time.Since(started)
+	}
+	return f.ask(ctx, home, call)
+}
+
 // ask has the home of a key run a call, here or on another instance. Only the home may
 // say that the work did not run.
 func (f *Front) ask(ctx context.Context, home string, call jayonce.Call) jayonce.Outcome {
--- /dev/null
+++ b/jay/jaycontrol/fixed.go
@@ -0,0 +1,23 @@
+package jaycontrol
+
+import (
+	"time"
+
+	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jayengine"
+)
+
+// Fixed plans the roles that the configuration gives.
+type Fixed struct{}
+
+// Plan returns the order for the first engine whose role is not the configured one.
+func (Fixed) Plan(_ time.Time, engines []jayconfig.NamedUpstream, status map[string]jayengine.Status) (engine string, order jayengine.Order, ok bool) {
+	for _, upstream := range engines {
+		current, known := status[upstream.Name]
+		if !known || current.Busy || current.Role == "" || current.Role == string(upstream.Role) {
+			continue
+		}
+		return upstream.Name, jayengine.Order{Kind: jayengine.OrderRole, Value: string(upstream.Role)}, true
+	}
+	return "", jayengine.Order{}, false
+}
--- /dev/null
+++ b/jay/jaycontrol/query.go
@@ -0,0 +1,44 @@
+package jaycontrol
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"jayfield.example/jay/jayorder"
+)
+
+// Dump is what a state dump shows of a controller.
+type Dump struct {
+	Cell string `json:"cell"`
+	// Holder is the incarnation that holds the lease by log order, and Fence its fencing number.
+	Holder string `json:"holder"`
+	Fence  int64  `json:"fence"`
+	// Own is set while this instance has authority.
+	Own    bool              `json:"own"`
+	Orders []jayorder.Record `json:"orders"`
+}
+
+// Dump returns the controller's state.
+func (c *Controller) Dump(ctx context.Context) Dump {
+	dump := Dump{Cell: c.Cell}
+	_ = c.owner.Ask(ctx, func(s *state) {
+		holder := s.lease.View().Holder()
+		dump.Holder, dump.Fence = holder.Incarnation, holder.Fence
+		_, dump.Own = s.lease.Holds(time.Now(), 0)
+		dump.Orders = s.ledger.Cell(c.Cell)
+	})
+	return dump
+}
+
+// UnderOrder returns the engines with orders that are not settled.
+func (c *Controller) UnderOrder(ctx context.Context) []string {
+	var names []string
+	_ = c.owner.Ask(ctx, func(s *state) {
+		for name := range s.ledger.Engines() {
+			names = append(names, name)
+		}
+	})
+	slices.Sort(names)
+	return names
+}
--- a/jay/jaydispatch/dispatcher.go
+++ b/jay/jaydispatch/dispatcher.go
@@ -86,6 +86,11 @@
 	d.tell(func(s *state) { s.table.List(names) })
 }
 
+// Ordered records which engines have orders that are not settled.
+func (d *Dispatcher) Ordered(engines map[string]bool) {
+	d.tell(func(s *state) { s.table.Ordered(engines) })
+}
+
 // Peers records the part of the capacity that is this instance's, and the work
 // that other instances say they run at each upstream.
 func (d *Dispatcher) Peers(share float64, others map[string]int) {
--- a/jay/jayengine/client.go
+++ b/jay/jayengine/client.go
@@ -21,6 +21,8 @@
 	idlePerUpstream = 256
 	// controlBound bounds a request for load, status or an order.
 	controlBound = 2 * time.Second
+	// orderBound bounds the sending of an order; its sender must have authority for longer.
+	orderBound = time.Second
 	// maxControlBytes bounds an answer to such a request.
 	maxControlBytes = 1 << 20
 )
@@ -137,7 +139,7 @@
 // Send gives an engine an order. KindUnreachable and KindFence say that the
 // order had no effect; any other failure leaves its effect unknown.
 func (c *Client) Send(ctx context.Context, address string, order Order) error {
-	ctx, cancel := context.WithTimeout(ctx, controlBound)
+	ctx, cancel := context.WithTimeout(ctx, orderBound)
 	defer cancel()
 	body, err := json.Marshal(order)
 	if err != nil {
@@ -148,7 +150,7 @@
 		return jayerror.Wrap("order", KindRefused, err)
 	}
 	request.ContentLength = int64(len(body))
-	response, err := c.http.Do(request)
+	response, err := c.fresh.Do(request)
 	if err != nil {
 		return jayerror.Wrap("order", failure(err), err)
 	}
--- a/jay/jayengine/protocol.go
+++ b/jay/jayengine/protocol.go
@@ -47,6 +47,8 @@
 	Pieces int `json:"pieces"`
 	// Leaving is set when the upstream takes no new work.
 	Leaving bool `json:"leaving"`
+	// Role is the part of the work that the engine does now.
+	Role string `json:"role"`
 }
 
 // Measured returns when the report was true.
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -14,6 +14,7 @@
 	"jayfield.example/jay/jayadmin"
 	"jayfield.example/jay/jaycall"
 	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jaycontrol"
 	"jayfield.example/jay/jaydispatch"
 	"jayfield.example/jay/jayengine"
 	"jayfield.example/jay/jaylimit"
@@ -48,6 +49,9 @@
 	follower   *jayconfig.Follower
 	watcher    *jaywatch.Watcher
 	front      *jaycall.Front
+	journal    *jayonce.Journal
+	control    *jaycontrol.Controller
+	planner    jaycontrol.Planner
 	rates      *jaylimit.Limiter
 	collector  *jaystate.Collector
 	writer     *jaylog.Writer
@@ -86,6 +90,7 @@
 		incarnation: jaylog.NewIncarnation(),
 		log:         log.With("instance", settings.Name),
 		policy:      jayroute.PolicyPredict,
+		planner:     jaycontrol.Fixed{},
 		group:       jaytask.NewGroup(),
 	}
 	i.metrics = jaymetric.NewSet(i.log)
@@ -148,7 +153,7 @@
 	})
 	worker := jaycall.NewWorker()
 	issuer := jayonce.NewIssuer(i.incarnation, time.Now(), s.Ticket)
-	i.home = jayonce.NewHome(issuer, worker, func(jayonce.Recorded) {}, i.metrics.Breach)
+	i.home = jayonce.NewHome(issuer, worker, func(r jayonce.Recorded) { i.journal.Record(r) }, i.metrics.Breach)
 	i.mesh = jaymesh.New(jaymesh.Options{
 		Self:    i.member(),
 		Key:     []byte(s.PeerKey),
@@ -169,6 +174,10 @@
 		CheckpointAge:   s.Retention / checkpointParts,
 		Apply:           func(view *jayconfig.View) { i.dispatcher.Configure(view.State()) },
 	})
+	i.mesh.Bind(i.follower)
+	i.journal = jayonce.NewJournal(jayonce.JournalOptions{
+		Log: i.platform, Writer: i.writer, Peers: i.mesh, Home: i.home, Logger: i.log,
+	})
 	i.front = jaycall.NewFront(jaycall.Options{
 		Region:      s.Region,
 		Incarnation: i.incarnation,
@@ -178,6 +187,7 @@
 		Entries:     entries{mesh: i.mesh, lifetime: s.Lifetime},
 		Homes:       i.mesh,
 		Home:        i.home,
+		Intents:     i.journal,
 		Dispatcher:  i.dispatcher,
 		Engines:     i.engines,
 		Rates:       i.rates,
@@ -205,9 +215,14 @@
 // run starts the parts that talk to others.
 func (i *Instance) run(l listeners) {
 	i.peers = jaypeer.NewServer(l.peer, []byte(i.settings.PeerKey), i.mesh, i.log)
-	i.mesh.Start(i.follower)
+	i.mesh.Start()
 	i.watcher = jaywatch.New(i.member(), i.mesh, i.follower, i.mesh, i.engines)
 	i.group.Every(listPeriod, i.readList)
+	i.control = jaycontrol.New(jaycontrol.Options{
+		Cell: i.settings.Zone, Incarnation: i.incarnation, TTL: i.settings.Lease, Margin: i.settings.Margin,
+		Log: i.platform, Writer: i.writer, Engines: i.engines, Configs: i.follower, Members: i.mesh,
+		Planner: i.planner, Ordered: i.dispatcher, Metrics: i.metrics, Logger: i.log,
+	})
 	admin := jayadmin.NewServer(jayadmin.Options{
 		Key:       i.settings.OperatorKey,
 		Configs:   i.follower,
--- a/jay/jayinstance/query.go
+++ b/jay/jayinstance/query.go
@@ -51,6 +51,7 @@
 		}},
 		{Name: "once", Dump: func(ctx context.Context) any { return i.home.Size(ctx) }},
 		{Name: "calls", Dump: func(context.Context) any { return callState{Working: i.front.Working()} }},
+		{Name: "control", Dump: func(ctx context.Context) any { return i.control.Dump(ctx) }},
 		{Name: "peers", Dump: func(context.Context) any {
 			return peerState{Open: i.peers.Open(), Refused: i.peers.Refused()}
 		}},
@@ -77,6 +78,16 @@
 	return list
 }
 
+// Name returns the name of the instance.
+func (i *Instance) Name() string {
+	return i.settings.Name
+}
+
+// UnderOrder returns the engines with orders that are not settled.
+func (i *Instance) UnderOrder(ctx context.Context) []string {
+	return i.control.UnderOrder(ctx)
+}
+
 // Known returns the number of usable instances that this one knows, itself included.
 func (i *Instance) Known() int {
 	known := 0
--- a/jay/jayinstance/stop.go
+++ b/jay/jayinstance/stop.go
@@ -33,6 +33,7 @@
 	case <-ctx.Done():
 	}
 	err := i.front.Drain(ctx)
+	i.control.Release(ctx)
 	outcomes := i.home.Outcomes(ctx)
 	given := i.mesh.HandOver(ctx, outcomes)
 	i.log.Info("outcomes handed over", "outcomes", len(outcomes), "instances", given)
@@ -51,10 +52,12 @@
 
 // stopParts ends the parts, those that use others first.
 func (i *Instance) stopParts() {
+	i.control.Stop()
 	i.watcher.Stop()
 	i.follower.Stop()
 	i.peers.Stop()
 	i.mesh.Stop()
+	i.journal.Stop()
 	i.home.Stop()
 	i.dispatcher.Stop()
 	i.engines.Close()
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -31,6 +31,8 @@
 	Heard time.Time `json:"heard"`
 	// Listed is set while the platform's list shows the incarnation.
 	Listed bool `json:"listed"`
+	// Unlisted is set when the list showed the incarnation once and no longer does.
+	Unlisted bool `json:"unlisted"`
 	// Silent is set when no statement arrived within the silence bound.
 	Silent bool `json:"silent"`
 }
--- a/jay/jaymember/view.go
+++ b/jay/jaymember/view.go
@@ -50,7 +50,9 @@
 
 // List takes in the platform's list of entry instances.
 func (v *View) List(list []jaylist.Instance) {
-	for _, status := range v.members {
+	listed := make(map[string]bool, len(v.members))
+	for incarnation, status := range v.members {
+		listed[incarnation] = status.Listed
 		status.Listed = false
 	}
 	v.seeds = nil
@@ -59,6 +61,9 @@
 			v.listOne(instance)
 		}
 	}
+	for incarnation, status := range v.members {
+		status.Unlisted = !status.Listed && (status.Unlisted || listed[incarnation])
+	}
 }
 
 // Members returns the others, by name and incarnation.
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -151,9 +151,13 @@
 	_ = m.owner.Tell(context.Background(), func(s *state) { s.hearLoad(time.Now(), name, load) })
 }
 
-// Start begins to exchange digests.
-func (m *Mesh) Start(configs Configs) {
+// Bind sets where the mesh learns of the configuration; call it before Start.
+func (m *Mesh) Bind(configs Configs) {
 	m.configs = configs
+}
+
+// Start begins to exchange digests.
+func (m *Mesh) Start() {
 	m.group.Every(tickPeriod, m.tick)
 }
 
--- a/jay/jaymesh/query.go
+++ b/jay/jaymesh/query.go
@@ -17,6 +17,17 @@
 // queryBound bounds a question to the mesh's own task.
 const queryBound = time.Second
 
+// Count returns the number of live instances.
+func (m *Mesh) Count() int {
+	live := 0
+	for _, member := range m.Members() {
+		if !member.Silent {
+			live++
+		}
+	}
+	return live
+}
+
 // Entries returns the instances that callers of a region should use, the best first.
 func (m *Mesh) Entries(region string) []jayentry.Entry {
 	members := m.Members()
--- a/jay/jayonce/error.go
+++ b/jay/jayonce/error.go
@@ -15,6 +15,8 @@
 	KindForged Kind = "forged"
 	// KindExpired means that the state of the ticket's keys may be forgotten.
 	KindExpired Kind = "expired"
+	// KindUndecided means that the log has not decided on a key without a ticket.
+	KindUndecided Kind = "undecided"
 )
 
 // Error is the error type of the package.
--- a/jay/jayonce/home.go
+++ b/jay/jayonce/home.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaylog"
 	"jayfield.example/jay/jaytask"
 )
 
@@ -28,6 +29,8 @@
 	// duration, since the clocks of two instances differ.
 	Left   time.Duration `msgpack:"l"`
 	Region string        `msgpack:"r"`
+	// Intent marks a key without a ticket, whose home the log decided.
+	Intent bool `msgpack:"i"`
 }
 
 // Gate lets work out to an upstream once.
@@ -58,12 +61,16 @@
 type homeState struct {
 	table   *Table
 	archive *Archive
+	intents *Intents
+	// current is set while the stream has been read to its end.
+	current bool
 }
 
 // Size tells how many keys and outcomes a home keeps.
 type Size struct {
 	Keys     int `json:"keys"`
 	Archived int `json:"archived"`
+	Intents  int `json:"intents"`
 }
 
 // NewHome starts a home. It hands each outcome of work that was sent to record.
@@ -71,6 +78,7 @@
 	s := &homeState{
 		table:   NewTable(DefaultTableLimit, issuer.Life(), breach),
 		archive: NewArchive(DefaultTableLimit, issuer.Life()),
+		intents: NewIntents(DefaultTableLimit),
 	}
 	tick := func(s *homeState, _ time.Time) {
 		s.table.Expire(time.Now())
@@ -84,7 +92,7 @@
 func (h *Home) Do(ctx context.Context, call Call) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, call.Left)
 	defer cancel()
-	step, entry, err := h.begin(ctx, call.Key)
+	step, entry, err := h.begin(ctx, call)
 	if err != nil {
 		return refusal(err)
 	}
@@ -110,6 +118,16 @@
 	return h.owner.Done()
 }
 
+// Behind tells the home that the stream cannot be read.
+func (h *Home) Behind() {
+	_ = h.owner.Tell(context.Background(), func(s *homeState) { s.current = false })
+}
+
+// Incarnation returns the incarnation whose keys the home runs.
+func (h *Home) Incarnation() string {
+	return h.issuer.incarnation
+}
+
 // Issue returns a fresh ticket for a caller.
 func (h *Home) Issue(caller string) string {
 	return h.issuer.Issue(time.Now(), caller)
@@ -141,10 +159,24 @@
 // Size returns how much the home keeps.
 func (h *Home) Size(ctx context.Context) Size {
 	var size Size
-	_ = h.owner.Ask(ctx, func(s *homeState) { size = Size{Keys: s.table.Size(), Archived: s.archive.Size()} })
+	_ = h.owner.Ask(ctx, func(s *homeState) {
+		size = Size{Keys: s.table.Size(), Archived: s.archive.Size(), Intents: s.intents.Size()}
+	})
 	return size
 }
 
+// Read takes in what the stream says of keys.
+func (h *Home) Read(batch jaylog.Batch) {
+	_ = h.owner.Ask(context.Background(), func(s *homeState) {
+		now := time.Now()
+		for _, entry := range batch.Entries {
+			decodeEntry(entry, s.intents.Add, func(r Recorded) { s.archive.Add(now, r) })
+		}
+		last := len(batch.Entries) - 1
+		s.current = last < 0 || batch.Entries[last].Offset+1 >= batch.End
+	})
+}
+
 // Stop ends the home's task.
 func (h *Home) Stop() {
 	h.owner.Stop()
@@ -155,19 +187,27 @@
 	return h.issuer.Life()
 }
 
+// Winner returns the home of a key without a ticket, if the log has decided it
+// and has been read to its end.
+func (h *Home) Winner(ctx context.Context, key Key) (home string, ok bool) {
+	_ = h.owner.Ask(ctx, func(s *homeState) {
+		home, ok = s.intents.Home(key)
+		ok = ok && s.current
+	})
+	return home, ok
+}
+
 // begin checks the ticket and registers the attempt at one instant, so that a
 // key cannot be forgotten between the two.
-func (h *Home) begin(ctx context.Context, key Key) (step Step, entry *Entry, err error) {
+func (h *Home) begin(ctx context.Context, call Call) (step Step, entry *Entry, err error) {
 	asked := h.owner.Ask(ctx, func(s *homeState) {
 		now := time.Now()
-		if outcome, ok := s.table.Settled(key); ok {
-			entry, step = settledEntry(outcome), StepWait
-			return
-		}
-		if err = h.issuer.Check(now, key.Caller, key.Key); err != nil {
-			return
+		if s.table.Phase(call.Key) == "" {
+			if err = h.admit(s, now, call); err != nil {
+				return
+			}
 		}
-		step, entry = s.table.Begin(now, key)
+		step, entry = s.table.Begin(now, call.Key)
 	})
 	if asked != nil {
 		return StepFull, nil, nil
@@ -232,10 +272,15 @@
 	g.out = false
 }
 
-func settledEntry(outcome Outcome) *Entry {
-	done := make(chan struct{})
-	close(done)
-	return &Entry{phase: PhaseSettled, outcome: outcome, done: done}
+// admit allows a key that the table does not hold to begin here.
+func (h *Home) admit(s *homeState, now time.Time, call Call) error {
+	if !call.Intent {
+		return h.issuer.Check(now, call.Key.Caller, call.Key.Key)
+	}
+	if s.table.Size() >= DefaultTableLimit || !s.intents.Begin(call.Key, h.issuer.incarnation) {
+		return jayerror.New("admit", KindExpired, "key was begun before")
+	}
+	return nil
 }
 
 // refusal is the outcome of a key that its ticket does not allow.
--- a/jay/jayroute/explain.go
+++ b/jay/jayroute/explain.go
@@ -100,6 +100,8 @@
 		return "leaving by the platform's list"
 	case u.leaving, u.report.Leaving:
 		return "leaving by its own answer"
+	case u.ordered:
+		return "under an order"
 	case now.Before(u.ejected):
 		return "ejected as slow or failing"
 	case u.free(now) <= 0:
--- a/jay/jayroute/table.go
+++ b/jay/jayroute/table.go
@@ -17,6 +17,7 @@
 	upstreams map[string]*Upstream
 	pools     map[string]*Pool
 	policy    Policy
+	ordered   map[string]bool
 }
 
 // Policy names a way to choose among upstreams.
@@ -53,6 +54,7 @@
 			known = newUpstream(object.Name.Name, spec)
 		}
 		known.spec = spec
+		known.ordered = t.ordered[object.Name.Name]
 		upstreams[object.Name.Name] = known
 	}
 	t.upstreams = upstreams
@@ -94,6 +96,14 @@
 	}
 }
 
+// Ordered records which engines have orders that are not settled.
+func (t *Table) Ordered(engines map[string]bool) {
+	t.ordered = engines
+	for name, u := range t.upstreams {
+		u.ordered = engines[name]
+	}
+}
+
 // Others records the work that other instances say they run, by upstream.
 func (t *Table) Others(running map[string]int) {
 	for name, u := range t.upstreams {
--- a/jay/jayroute/upstream.go
+++ b/jay/jayroute/upstream.go
@@ -40,6 +40,7 @@
 
 	leaving  bool
 	listed   bool
+	ordered  bool
 	ejected  time.Time
 	ejection time.Duration
 	stalled  int
@@ -57,7 +58,7 @@
 
 // Leaving reports whether the upstream takes no new work, for any of the reasons known.
 func (u *Upstream) Leaving() bool {
-	return u.leaving || u.listed || u.spec.Drain || u.report.Leaving
+	return u.leaving || u.listed || u.ordered || u.spec.Drain || u.report.Leaving
 }
 
 // Name returns the name of the upstream's object.
--- a/jay/jaysetting/read.go
+++ b/jay/jaysetting/read.go
@@ -93,7 +93,7 @@
 		}
 	}
 	if len(fields) == 0 {
-		return section.Fault(jayini.KindUnknown, "", "unknown section; accepted: instance, listen, platform, key, entry, limit, log, region")
+		return section.Fault(jayini.KindUnknown, "", "unknown section; accepted: instance, listen, platform, key, entry, lease, limit, log, region")
 	}
 	return section.Decode(fields...)
 }
--- a/jay/jaysetting/settings.go
+++ b/jay/jaysetting/settings.go
@@ -9,6 +9,7 @@
 	"jayfield.example/jay/jaycall"
 	"jayfield.example/jay/jayentry"
 	"jayfield.example/jay/jayini"
+	"jayfield.example/jay/jaylease"
 	"jayfield.example/jay/jayqueue"
 )
 
@@ -30,7 +31,9 @@
 	Lifetime time.Duration
 	// Ticket is how long tickets of work that runs at most once may be used.
 	Ticket time.Duration
-	Limits jaycall.Limits
+	// Lease and Margin are how long a lease runs and how much longer others wait.
+	Lease, Margin time.Duration
+	Limits        jaycall.Limits
 	// Queue bounds the requests that wait for each route or service.
 	Queue int
 	Level slog.Level
@@ -49,6 +52,7 @@
 	defaultRetention = 24 * time.Hour
 	defaultTicket    = 15 * time.Minute
 	leastKey         = 16
+	leastLease       = 4 * time.Second
 	maxBody          = 64 << 20
 	maxCalls         = 100_000
 	maxQueue         = 100_000
@@ -60,6 +64,8 @@
 		Retention: defaultRetention,
 		Lifetime:  jayentry.DefaultLifetime,
 		Ticket:    defaultTicket,
+		Lease:     jaylease.DefaultTTL,
+		Margin:    jaylease.DefaultMargin,
 		Limits:    jaycall.DefaultLimits(),
 		Queue:     jayqueue.DefaultLimit,
 	}
@@ -98,6 +104,8 @@
 		{"key", keyField("peer", &s.PeerKey), "key that all instances share"},
 		{"entry", jayini.Duration("lifetime", &s.Lifetime, 0), "how long callers may keep addresses"},
 		{"entry", jayini.Duration("ticket", &s.Ticket, time.Second), "how long tickets may be used"},
+		{"lease", jayini.Duration("time", &s.Lease, leastLease), "how long a lease runs without renewal"},
+		{"lease", jayini.Duration("margin", &s.Margin, 0), "how much longer others wait before they claim it"},
 		{"limit", jayini.Int("body", &s.Limits.Body, 1, maxBody), "largest body of a request in bytes"},
 		{"limit", jayini.Int("calls", &s.Limits.Calls, 1, maxCalls), "most requests at work"},
 		{"limit", jayini.Duration("time", &s.Limits.Time, time.Second), "longest time of a request"},
--- a/jay/jaysite/fault_test.go
+++ b/jay/jaysite/fault_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"net/http"
 	"strings"
 	"sync"
@@ -25,7 +24,7 @@
 	if change != nil {
 		change(&plan)
 	}
-	site, err := jaysite.Start(plan, slog.New(slog.DiscardHandler))
+	site, err := jaysite.Start(plan, logger())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,6 +46,7 @@
 }
 
 func TestStreamUnderEngineFaults(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		faults  jaystandin.EngineFaults
 		counter jaymetric.Name
@@ -57,6 +57,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			site, ctx := start(t, func(p *jaysite.Plan) {
 				p.Instances, p.Engines = 1, 1
 				p.Adjust = func(s *jaysetting.Settings) { s.Limits.Interval = 300 * time.Millisecond }
@@ -78,6 +79,7 @@
 }
 
 func TestStreamGoesOnWhenItsInstanceIsKilled(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, nil)
 	caller := site.Caller(account("shop-12"), "amman")
 	address, err := caller.Address(ctx)
@@ -107,6 +109,7 @@
 }
 
 func TestCallerCannotResumeAnothersStream(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, nil)
 	shop, desk := site.Caller(account("shop-12"), ""), site.Caller(account("desk-3"), "")
 	address, err := shop.Address(ctx)
@@ -133,6 +136,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			response, err := test.caller.Do(ctx, address, http.MethodPost, "/v1/chat/completions", http.Header{"Last-Event-ID": {id}}, test.body)
 			if err != nil {
 				t.Fatal(err)
@@ -146,6 +150,7 @@
 }
 
 func TestCallerThatLeavesCancelsItsWork(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, func(p *jaysite.Plan) { p.Engines = 1 })
 	caller := site.Caller(account("shop-12"), "")
 	short, cancel := context.WithCancel(ctx)
@@ -165,6 +170,7 @@
 }
 
 func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, func(p *jaysite.Plan) { p.Lifetime = 300 * time.Millisecond })
 	caller := site.Caller(account("shop-12"), "amman")
 	var wait sync.WaitGroup
@@ -194,6 +200,7 @@
 }
 
 func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	tests := map[string]func(t *testing.T, ctx context.Context, site *jaysite.Site){
 		"own answer": func(_ *testing.T, _ context.Context, site *jaysite.Site) {
 			site.Engines[0].SetFaults(jaystandin.EngineFaults{Leaving: true})
@@ -208,6 +215,7 @@
 	}
 	for name, leave := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			site, ctx := start(t, nil)
 			leave(t, ctx, site)
 			time.Sleep(1500 * time.Millisecond)
--- a/jay/jaysite/once_test.go
+++ b/jay/jaysite/once_test.go
@@ -31,6 +31,7 @@
 }
 
 func TestOrderRunsOnce(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, nil)
 	caller := site.Caller(account("shop-12"), "")
 	entries, err := caller.Entries(ctx)
@@ -55,6 +56,7 @@
 }
 
 func TestOrderRefused(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, nil)
 	shop, desk := site.Caller(account("shop-12"), ""), site.Caller(account("desk-3"), "")
 	entries, err := shop.Entries(ctx)
@@ -92,6 +94,7 @@
 // A connection that breaks after the service has read an order must not make
 // the transport send it again.
 func TestBrokenOrderIsNotSentAgain(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, nil)
 	site.Services[0].SetFaults(jaystandin.ServiceFaults{BreakAfterRun: 1})
 	caller := site.Caller(account("shop-12"), "")
@@ -111,6 +114,7 @@
 }
 
 func TestOrderOfAKilledHomeIsUnknown(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, nil)
 	site.Services[0].SetFaults(jaystandin.ServiceFaults{Delay: 300 * time.Millisecond})
 	caller := site.Caller(account("shop-12"), "")
@@ -136,6 +140,7 @@
 }
 
 func TestOutcomesOutliveAPlannedStop(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, func(p *jaysite.Plan) { p.Lifetime = 0 })
 	caller := site.Caller(account("shop-12"), "")
 	first := "http://" + site.Instances[0].Addresses().Caller
@@ -162,6 +167,7 @@
 
 // An order whose time ran out in the queue must not be sent afterwards.
 func TestOrderIsNotSentAfterItsTime(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, func(p *jaysite.Plan) {
 		p.Instances = 1
 		p.Extra = "" // One service upstream with 64 slots.
--- a/jay/jaysite/openai_test.go
+++ b/jay/jaysite/openai_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"testing"
 
 	"github.com/openai/openai-go/v3"
@@ -26,6 +27,7 @@
 }
 
 func TestOpenAIClient(t *testing.T) {
+	t.Parallel()
 	site, ctx := start(t, nil)
 	client := openaiClient(site, "shop-12-key")
 	want := jaystandin.Answer("is it in stock", 20)
@@ -80,7 +82,7 @@
 			wrong := openaiClient(site, "not-a-key")
 			_, err := wrong.Chat.Completions.New(ctx, params("hello"))
 			var failed *openai.Error
-			if !errors.As(err, &failed) || failed.StatusCode != 401 || failed.Code != "invalid_api_key" {
+			if !errors.As(err, &failed) || failed.StatusCode != http.StatusUnauthorized || failed.Code != "invalid_api_key" {
 				t.Errorf("error = %v", err)
 			}
 		},
@@ -89,7 +91,7 @@
 			other.Model = "no-such-model"
 			_, err := client.Chat.Completions.New(ctx, other)
 			var failed *openai.Error
-			if !errors.As(err, &failed) || failed.StatusCode != 404 || failed.Code != "model_not_found" {
+			if !errors.As(err, &failed) || failed.StatusCode != http.StatusNotFound || failed.Code != "model_not_found" {
 				t.Errorf("error = %v", err)
 			}
 		},
--- a/jay/jaysite/site_test.go
+++ b/jay/jaysite/site_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -12,9 +11,10 @@
 )
 
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	plan := jaysite.DefaultPlan()
 	plan.Fatal = func(rule string) { t.Error("invariant broken:", rule) }
-	site, err := jaysite.Start(plan, slog.New(slog.DiscardHandler))
+	site, err := jaysite.Start(plan, logger())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/jay/jaystandin/engine.go
+++ b/jay/jaystandin/engine.go
@@ -48,6 +48,8 @@
 	BreakAfter int
 	// Cross sends the next stream an event of another request and a repeated one.
 	Cross bool
+	// Working makes the engine report a request that never ends.
+	Working bool
 	// CrashInOrder makes the engine start again halfway through the next order.
 	CrashInOrder bool
 }
@@ -69,6 +71,7 @@
 	orders    []jayengine.Order
 	reports   []moment
 	served    int
+	cut       int
 	cancelled int
 }
 
@@ -110,6 +113,20 @@
 	return func(e *Engine) { e.setRole(role) }
 }
 
+// Busy reports whether an order is being carried out.
+func (e *Engine) Busy() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.status.Busy
+}
+
+// Cut returns how many requests were cut by orders.
+func (e *Engine) Cut() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cut
+}
+
 // Done is closed when the engine has stopped.
 func (e *Engine) Done() <-chan struct{} {
 	return e.group.Done()
@@ -282,6 +299,10 @@
 		Prefill: e.batch.queued(),
 		Pieces:  max(0, e.batch.rates.Pieces-e.batch.used()),
 		Leaving: e.faults.Leaving,
+		Role:    e.status.Role,
+	}
+	if e.faults.Working {
+		load.Running++
 	}
 	e.reports = append(e.reports, moment{at: now, load: load})
 	if len(e.reports) > 1000 {
--- a/jay/jaystandin/generate.go
+++ b/jay/jaystandin/generate.go
@@ -60,7 +60,7 @@
 		select {
 		case <-a.wake:
 		case <-a.ended:
-			return nil
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return nil
 		case <-e.group.Context().Done():
--- a/jay/jaystandin/order.go
+++ b/jay/jaystandin/order.go
@@ -39,6 +39,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return nil
 	}
+	e.cutAll()
 	e.orders = append(e.orders, order)
 	e.status.Order = order.ID
 	e.status.Busy = true
@@ -48,6 +49,19 @@
 	return nil
 }
 
+// cutAll ends every request, as a change of role or model does.
+func (e *Engine) cutAll() {
+	for id, s := range e.sequences {
+		e.batch.remove(s)
+		delete(e.sequences, id)
+		if s.attached != nil {
+			close(s.attached.ended)
+			s.attached = nil
+		}
+		e.cut++
+	}
+}
+
 // finishOrder ends an order, or starts the engine again as it was before it.
 func (e *Engine) finishOrder(order jayengine.Order, crash bool) {
 	e.mu.Lock()
--- a/jay/jaystandin/platform.go
+++ b/jay/jaystandin/platform.go
@@ -98,6 +98,13 @@
 	p.list[name] = instance
 }
 
+// Unlist takes an instance off the list.
+func (p *Platform) Unlist(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.list, name)
+}
+
 func (p *Platform) append(w http.ResponseWriter, r bunrouter.Request) error {
 	faults := p.currentFaults()
 	var record jaylog.Record
@@ -134,9 +141,7 @@
 }
 
 func (p *Platform) deleteInstance(_ http.ResponseWriter, r bunrouter.Request) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.list, r.Param("name"))
+	p.Unlist(r.Param("name"))
 	return nil
 }
 
