--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LINT := $(CURDIR)/bin/golangci-lint
 SEED ?= 1
 
-.PHONY: build demo lint soak test tools
+.PHONY: build demo lint mutations soak test
 
 build:
 	go build -o bin/jayfieldd ./jayfieldd
@@ -26,3 +26,11 @@
 
 $(LINT):
 	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+mutations:
+	tools/mutate
+
+# Long randomised runs of the state machines; SEED chooses the runs.
+soak:
+	cd jay && go test -count=1 ./jayconfig ./jaylease ./jayorder -rapid.checks=50000 -rapid.steps=200 -rapid.seed=$(SEED) -v
+	cd jay && JAYFIELD_SOAK_SEEDS=3000 JAYFIELD_SOAK_START=$(SEED) go test -count=1 ./jayonce -run TestWorkRunsAtMostOnce -v
--- /dev/null
+++ b/jay/jayconfig/replica_test.go
@@ -0,0 +1,216 @@
+package jayconfig_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jaylog"
+)
+
+// site is the stateful test: a log with expiry, operators that race, replicas
+// that lag, die and start anew, and an oracle that has read every record.
+type site struct {
+	writer   *jaylog.Writer
+	log      []jaylog.Entry
+	oldest   int64
+	oracle   []*jayconfig.State
+	replicas []*jayconfig.Replica
+	// seen is the highest position of each replica.
+	seen []int64
+	// begun is where each replica began to read, after the last gap.
+	begun []int64
+	// gaps counts replicas that took a state whose next records they never read.
+	gaps     int
+	accepted int
+	faults   int
+}
+
+func newSite(replicas int) *site {
+	s := &site{writer: jaylog.NewWriter("operators"), oracle: []*jayconfig.State{jayconfig.NewState()}}
+	for range replicas {
+		s.replicas = append(s.replicas, &jayconfig.Replica{})
+		s.seen = append(s.seen, -1)
+		s.begun = append(s.begun, 0)
+	}
+	return s
+}
+
+func (s *site) append(t *rapid.T, record jaylog.Record) {
+	entry := jaylog.Entry{Offset: int64(len(s.log)), Record: record}
+	s.log = append(s.log, entry)
+	next, err := s.oracle[entry.Offset].Apply(entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.oracle = append(s.oracle, next)
+	if v, ok := next.Verdict(record.ID); ok && v.Offset == entry.Offset && v.Outcome == jayconfig.OutcomeAccepted {
+		s.accepted++
+	}
+}
+
+// text describes a state fully.
+func text(state *jayconfig.State) string {
+	var b strings.Builder
+	for _, o := range state.Objects() {
+		fmt.Fprintf(&b, "%s%d\n", o.Text(), o.Version)
+	}
+	for _, v := range state.Verdicts() {
+		fmt.Fprintf(&b, "%d %s %s\n", v.Offset, v.Outcome, v.Reason)
+	}
+	return b.String()
+}
+
+// check asserts that each replica is exactly as the oracle was, and never goes back.
+func (s *site) check(t *rapid.T) {
+	if s.gaps > 0 {
+		t.Fatal("replica took a checkpoint although records after it are gone")
+	}
+	for n, r := range s.replicas {
+		state := r.State()
+		if state == nil {
+			continue
+		}
+		if state.Next() < s.seen[n] {
+			t.Fatalf("replica %d went back from %d to %d", n, s.seen[n], state.Next())
+		}
+		s.seen[n] = state.Next()
+		if got, want := text(state), text(s.oracle[state.Next()]); got != want {
+			t.Fatalf("replica %d at %d:\n%s\nwant:\n%s", n, state.Next(), got, want)
+		}
+	}
+}
+
+func (s *site) publish(t *rapid.T) {
+	name := jayconfig.Name{Class: jayconfig.ClassCaller, Name: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")}
+	known := s.oracle[rapid.IntRange(max(0, len(s.oracle)-4), len(s.oracle)-1).Draw(t, "made from")]
+	change := jayconfig.Change{
+		Name: name, Base: known.Version(name), Delete: rapid.IntRange(0, 9).Draw(t, "delete") == 0,
+		Fields: []jayconfig.Field{
+			{Key: "key", Value: jayconfig.HashKey("k")},
+			{Key: "weight", Value: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "weight"))},
+		},
+	}
+	body, err := jayconfig.Publish{Format: jayconfig.Format, Changes: []jayconfig.Change{change}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := s.writer.Record(jayconfig.RecordPublish, body)
+	s.append(t, record)
+	if rapid.IntRange(0, 4).Draw(t, "lost reply") == 0 {
+		s.faults++
+		s.append(t, record)
+	}
+}
+
+func (s *site) read(n, count int) {
+	r := s.replicas[n]
+	if r.From() < s.oldest {
+		r.Expired(s.oldest)
+		s.begun[n] = s.oldest
+	}
+	if len(s.log) == 0 {
+		r.Begin()
+	}
+	from := r.From()
+	to := min(from+int64(count), int64(len(s.log)))
+	if from == to {
+		return
+	}
+	fresh := r.State() == nil
+	_ = r.Read(s.log[from:to])
+	if fresh && r.State() != nil && r.State().Next() < s.begun[n] {
+		s.gaps++
+	}
+}
+
+func (s *site) actions() map[string]func(*rapid.T) {
+	pick := func(t *rapid.T) int { return rapid.IntRange(0, len(s.replicas)-1).Draw(t, "replica") }
+	return map[string]func(*rapid.T){
+		"":         s.check,
+		"publish":  s.publish,
+		"publish2": s.publish,
+		"read":     func(t *rapid.T) { s.read(pick(t), rapid.IntRange(1, 6).Draw(t, "records")) },
+		"read2":    func(t *rapid.T) { s.read(pick(t), rapid.IntRange(1, 6).Draw(t, "records")) },
+		"checkpoint": func(t *rapid.T) {
+			if state := s.replicas[pick(t)].State(); state != nil {
+				body, err := state.Snapshot().Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.append(t, s.writer.Record(jayconfig.RecordCheckpoint, body))
+			}
+		},
+		"expire": func(t *rapid.T) {
+			s.faults++
+			s.oldest = int64(rapid.IntRange(int(s.oldest), len(s.log)).Draw(t, "oldest"))
+		},
+		"restart": func(t *rapid.T) {
+			s.faults++
+			n := pick(t)
+			s.replicas[n], s.seen[n], s.begun[n] = &jayconfig.Replica{}, -1, 0
+		},
+		"ask peer": func(t *rapid.T) {
+			from, to := pick(t), pick(t)
+			state := s.replicas[from].State()
+			if state == nil {
+				return
+			}
+			body, err := state.Snapshot().Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			snapshot, err := jayconfig.DecodeSnapshot(body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := s.replicas[to].Restore(snapshot); err != nil {
+				t.Fatal(err)
+			}
+		},
+	}
+}
+
+func TestReplicasAgree(t *testing.T) {
+	accepted, faults, states := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(4)
+		t.Repeat(s.actions())
+		accepted += s.accepted
+		faults += s.faults
+		for _, r := range s.replicas {
+			if r.State() != nil {
+				states++
+			}
+		}
+	})
+	t.Logf("accepted publishes: %d, faults: %d, replicas with a state at the end: %d", accepted, faults, states)
+	if accepted == 0 || states == 0 {
+		t.Error("no run reached an accepted publish and a state")
+	}
+}
+
+func TestParsePublishNamesTheFault(t *testing.T) {
+	tests := map[string]struct{ text, want string }{
+		"unknown class":  {"[thing x]\na = b\n", `f.ini:1: [thing x]: "thing" is not one of upstream, service, route, caller`},
+		"no name":        {"[route]\nmodel = m\n", "f.ini:1: [route]: section is not named [class name]"},
+		"unknown key":    {"[route r]\nmodel = m\nmodle = n\n", "f.ini:3: [route r] modle: unknown key"},
+		"missing key":    {"[route r]\nrank = 1\n", "f.ini:1: [route r] model: key is missing"},
+		"twice":          {"[route r]\nmodel = m\nmodel = n\n", "f.ini:2: [route r] model: key appears twice"},
+		"bad selector":   {"[route r]\nmodel = m\nupstreams = a in (\n", "f.ini:3: [route r] upstreams: "},
+		"bad address":    {"[upstream u]\naddress = engine\n", "f.ini:2: [upstream u] address: \"engine\" is not an address"},
+		"clear key":      {"[caller c]\nkey = secret\n", "f.ini:2: [caller c] key: not sha256:"},
+		"empty document": {"\n", "f.ini: document has no sections"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := jayconfig.ParsePublish("f.ini", test.text)
+			if err == nil || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("error = %v, want %q", err, test.want)
+			}
+		})
+	}
+}
--- a/jay/jaylease/machine_test.go
+++ b/jay/jaylease/machine_test.go
@@ -47,10 +47,13 @@
 	// leases counts the claims that gave authority, so that the test is known to reach them.
 	leases map[int64]bool
 	faults int
+	// truth has read every record, and effective are those that took effect.
+	truth     jaylease.View
+	effective map[int64]bool
 }
 
 func newWorld(members int) *world {
-	w := &world{now: time.Unix(0, 0), leases: make(map[int64]bool)}
+	w := &world{now: time.Unix(0, 0), leases: make(map[int64]bool), effective: make(map[int64]bool), truth: jaylease.NewView(cell, 0)}
 	for range members {
 		w.members = append(w.members, w.newMember(nil))
 	}
@@ -90,14 +93,21 @@
 func (w *world) land(n int) {
 	f := w.flights[n]
 	w.flights = append(w.flights[:n], w.flights[n+1:]...)
-	w.log = append(w.log, jaylog.Entry{Offset: w.end(), Record: f.record})
+	entry := jaylog.Entry{Offset: w.end(), Record: f.record}
+	w.log = append(w.log, entry)
+	if _, effective := w.truth.Apply(entry); effective {
+		w.effective[entry.Offset] = true
+	}
 }
 
 // check asserts that at most one member has authority, and that fencing
 // numbers of orders never fall.
 func (w *world) check(t *rapid.T) {
 	holders := 0
-	for _, m := range w.members {
+	for n, m := range w.members {
+		if h := m.machine.View().Holder(); h.Incarnation != "" && !w.effective[h.Offset] {
+			t.Fatalf("member %d believes in record %d, which took no effect", n, h.Offset)
+		}
 		if fence, ok := m.machine.Holds(w.now, 0); ok {
 			holders++
 			w.leases[fence] = true
--- /dev/null
+++ b/jay/jayonce/home_test.go
@@ -0,0 +1,290 @@
+package jayonce_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jayfield.example/jay/jayonce"
+)
+
+// service is the oracle: it counts how often the work of each key ran, and when.
+type service struct {
+	mu   sync.Mutex
+	runs map[jayonce.Key]int
+	last map[jayonce.Key]time.Time
+}
+
+func (s *service) run(key jayonce.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[key]++
+	s.last[key] = time.Now()
+}
+
+// worker stands in for queue and network between a home and the service, with seeded faults.
+type worker struct {
+	source  *rand.Rand
+	mu      sync.Mutex
+	service *service
+	dead    bool
+}
+
+func (w *worker) draw(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.source.IntN(n)
+}
+
+func (w *worker) killed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead
+}
+
+func (w *worker) Work(ctx context.Context, call jayonce.Call, gate jayonce.Gate) jayonce.Outcome {
+	for {
+		select {
+		case <-time.After(time.Duration(w.draw(400)) * time.Millisecond):
+		case <-ctx.Done():
+			return jayonce.Outcome{Run: jayonce.RunNot, Reason: "queue"}
+		}
+		if w.draw(10) == 0 {
+			return jayonce.Outcome{Run: jayonce.RunNot, Reason: "queue is full"}
+		}
+		if w.killed() || !gate.Sent() {
+			return jayonce.Outcome{Run: jayonce.RunNot, Reason: "gate"}
+		}
+		switch w.draw(5) {
+		case 0: // The connection is refused: nothing was sent.
+			gate.Unsent()
+			continue
+		case 1: // The work runs and its reply is lost.
+			w.service.run(call.Key)
+			return jayonce.Outcome{Run: jayonce.RunUnknown, Reason: "reply lost"}
+		}
+		time.Sleep(time.Duration(w.draw(20)) * time.Millisecond)
+		w.service.run(call.Key)
+		time.Sleep(time.Duration(w.draw(300)) * time.Millisecond)
+		return jayonce.Outcome{Run: jayonce.RunDone, Status: 200, Body: []byte(call.Key.Key)}
+	}
+}
+
+// instance is a home with its worker.
+type instance struct {
+	home   *jayonce.Home
+	worker *worker
+}
+
+// cluster is a few homes, callers that retry anywhere, and faults.
+type cluster struct {
+	t         *testing.T
+	source    *rand.Rand
+	service   *service
+	instances []*instance
+	names     int
+	mu        sync.Mutex
+	notRun    map[jayonce.Key]bool
+	done      map[jayonce.Key]bool
+	deadline  map[jayonce.Key]time.Time
+	kills     int
+}
+
+const ticketLife = 5 * time.Second
+
+func newCluster(t *testing.T, seed uint64) *cluster {
+	c := &cluster{
+		t: t, source: rand.New(rand.NewPCG(seed, 0)),
+		service: &service{runs: make(map[jayonce.Key]int), last: make(map[jayonce.Key]time.Time)},
+		notRun:  make(map[jayonce.Key]bool), done: make(map[jayonce.Key]bool), deadline: make(map[jayonce.Key]time.Time),
+	}
+	for range 3 {
+		c.instances = append(c.instances, c.start())
+	}
+	return c
+}
+
+func (c *cluster) start() *instance {
+	c.names++
+	w := &worker{source: rand.New(rand.NewPCG(c.source.Uint64(), 0)), service: c.service}
+	issuer := jayonce.NewIssuer(fmt.Sprintf("i-%d", c.names), time.Now(), ticketLife)
+	home := jayonce.NewHome(issuer, w, func(r jayonce.Recorded) {
+		for _, other := range c.instances {
+			other.home.Learn(r)
+		}
+	}, func(rule string) { c.t.Error("invariant broken:", rule) })
+	return &instance{home: home, worker: w}
+}
+
+// kill ends an instance as a crash does, and starts another in its place.
+func (c *cluster) kill(n int) {
+	c.kills++
+	old := c.instances[n]
+	old.worker.mu.Lock()
+	old.worker.dead = true
+	old.worker.mu.Unlock()
+	old.home.Stop()
+	c.instances[n] = c.start()
+}
+
+// attempt asks for a key at any instance, as the callers' side does, over a network with delays.
+func (c *cluster) attempt(at *instance, all []*instance, call jayonce.Call, delay time.Duration) {
+	time.Sleep(delay)
+	home, _ := jayonce.HomeOf(call.Key.Key)
+	outcome := jayonce.Outcome{Run: jayonce.RunUnknown}
+	found := false
+	for _, i := range all {
+		if i.home.Incarnation() == home {
+			found = true
+			outcome = i.home.Do(context.Background(), call)
+			if i.worker.killed() {
+				outcome = jayonce.Outcome{Run: jayonce.RunUnknown}
+			}
+		}
+	}
+	if !found {
+		outcome = at.home.Lookup(context.Background(), call.Key)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch outcome.Run {
+	case jayonce.RunNot:
+		c.notRun[call.Key] = true
+	case jayonce.RunDone:
+		c.done[call.Key] = true
+		if string(outcome.Body) != call.Key.Key {
+			c.t.Errorf("answer of %q given for %q", outcome.Body, call.Key.Key)
+		}
+	}
+}
+
+func (c *cluster) run(steps int) {
+	var keys []jayonce.Key
+	var wait sync.WaitGroup
+	for range steps {
+		switch draw := c.source.IntN(20); {
+		case draw == 0 && len(keys) > 0:
+			c.kill(c.source.IntN(len(c.instances)))
+		case draw < 8 || len(keys) == 0:
+			caller := fmt.Sprintf("c-%d", c.source.IntN(3))
+			keys = append(keys, jayonce.Key{Caller: caller, Key: c.instances[c.source.IntN(3)].home.Issue(caller)})
+		}
+		key := keys[len(keys)-1-c.source.IntN(min(len(keys), 6))]
+		left := time.Duration(100+c.source.IntN(900)) * time.Millisecond
+		delay := time.Duration(c.source.IntN(200)) * time.Millisecond
+		call := jayonce.Call{Key: key, Left: left}
+		c.mu.Lock()
+		if end := time.Now().Add(delay + left); end.After(c.deadline[key]) {
+			c.deadline[key] = end
+		}
+		c.mu.Unlock()
+		at, all := c.instances[c.source.IntN(3)], append([]*instance(nil), c.instances...)
+		wait.Go(func() { c.attempt(at, all, call, delay) })
+		time.Sleep(time.Duration(c.source.IntN(120)) * time.Millisecond)
+	}
+	wait.Wait()
+	time.Sleep(2 * ticketLife)
+	for _, key := range keys {
+		wait.Go(func() { c.attempt(c.instances[0], c.instances, jayonce.Call{Key: key, Left: time.Second}, 0) })
+	}
+	wait.Wait()
+	for _, i := range c.instances {
+		i.home.Stop()
+	}
+}
+
+// check compares every answer with what the service ran.
+func (c *cluster) check() (ran int) {
+	for key, runs := range c.service.runs {
+		ran++
+		if runs > 1 {
+			c.t.Errorf("work ran %d times", runs)
+		}
+		if c.notRun[key] {
+			c.t.Error("work ran that was said not to run")
+		}
+		// The service may begin 20 ms after the gate.
+		if late := c.service.last[key].Sub(c.deadline[key]); late > 20*time.Millisecond {
+			c.t.Errorf("work ran %s after the last caller had gone", late)
+		}
+	}
+	for key := range c.done {
+		if c.service.runs[key] != 1 {
+			c.t.Errorf("work that was confirmed ran %d times", c.service.runs[key])
+		}
+	}
+	return ran
+}
+
+func TestWorkRunsAtMostOnce(t *testing.T) {
+	const steps = 150
+	seeds, start := number("JAYFIELD_SOAK_SEEDS", 60), number("JAYFIELD_SOAK_START", 0)
+	ran, kills, refused, confirmed := 0, 0, 0, 0
+	for seed := start; seed < start+seeds; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, uint64(seed))
+			c.run(steps)
+			ran += c.check()
+			kills += c.kills
+			refused += len(c.notRun)
+			confirmed += len(c.done)
+			if t.Failed() {
+				t.Logf("seed %d", seed)
+			}
+		})
+	}
+	t.Logf("runs %d, steps %d, work run %d, kills %d, not-run %d, confirmed %d", seeds, seeds*steps, ran, kills, refused, confirmed)
+	if ran == 0 || kills == 0 || refused == 0 || confirmed == 0 {
+		t.Error("the runs did not reach every answer")
+	}
+}
+
+// number returns a number from the environment, or another where there is none.
+func number(name string, other int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return other
+}
+
+func TestTicket(t *testing.T) {
+	start := time.Unix(1000, 0)
+	own := jayonce.NewIssuer("i-1", start, time.Minute)
+	other := jayonce.NewIssuer("i-1", start, time.Minute)
+	ticket := own.Issue(start, "shop")
+	tests := map[string]struct {
+		caller, key string
+		at          time.Duration
+		want        string
+	}{
+		"valid":          {"shop", ticket, time.Second, ""},
+		"with a suffix":  {"shop", ticket + ".order-1", time.Second, ""},
+		"other caller":   {"desk", ticket, time.Second, "forged"},
+		"other secret":   {"shop", other.Issue(start, "shop"), time.Second, "forged"},
+		"too old":        {"shop", ticket, time.Minute + 1, "expired"},
+		"no ticket":      {"shop", "order-1", 0, "malformed"},
+		"another's home": {"shop", jayonce.NewIssuer("i-2", start, time.Minute).Issue(start, "shop"), 0, "foreign"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := own.Check(start.Add(test.at), test.caller, test.key)
+			got := ""
+			if err != nil {
+				var e *jayonce.Error
+				if errors.As(err, &e) {
+					got = string(e.Kind)
+				}
+			}
+			if got != test.want {
+				t.Errorf("kind = %q, want %q", got, test.want)
+			}
+		})
+	}
+}
