Prove recovery and measure how fast configuration spreads

Cause: replacing instances was untested. Change: tests that replace instances one by one and all at once, with the log up, down and expired; operators that race; lost replies; keys without tickets; hostile peers; jaybench publish. Found and mended: a new instance without configuration was given to callers; news of a condition waited up to 2 s for its turn, so quick replacements left callers without addresses; the client forgot addresses that still worked; a call's answer came at its caller's deadline and not before.

--- a/jay/jaycall/front.go
+++ b/jay/jaycall/front.go
@@ -22,6 +22,9 @@
 )
 
 const (
+	// answerParts and answerMost are what is kept of a caller's time for the way of the answer.
+	answerParts = 10
+	answerMost  = 100 * time.Millisecond
 	// retryRatio and retryBurst bound retries: a tenth of the requests.
 	retryRatio = 0.1
 	retryBurst = 20
@@ -189,6 +192,7 @@
 	if err != nil || d <= 0 {
 		return 0, jayerror.Newf("timeout", KindInvalid, "%s is %q; write a duration such as 2s", HeaderTimeout, value)
 	}
+	d -= min(d/answerParts, answerMost)
 	return min(d, f.Limits.Time), nil
 }
 
--- a/jay/jayclient/caller.go
+++ b/jay/jayclient/caller.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	// maxAnswer bounds an answer that is read whole, in bytes.
 	maxAnswer = 16 << 20
 	dialBound = 2 * time.Second
+	// maxPast bounds the addresses kept from earlier answers.
+	maxPast = 16
 )
 
 // Caller is a client of one account. It is safe for concurrent use.
@@ -35,6 +38,8 @@
 
 	mu      sync.Mutex
 	entries []jayentry.Entry
+	// past are the addresses of earlier answers, the newest first.
+	past    []string
 	expires time.Time
 }
 
@@ -110,6 +115,7 @@
 func (c *Caller) drop(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.remember()
 	for i, entry := range c.entries {
 		if entry.Address == address {
 			c.entries = append(c.entries[:i:i], c.entries[i+1:]...)
@@ -141,6 +147,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.remember()
 	c.entries = answer.Entries
 	c.expires = time.Now().Add(time.Duration(answer.Lifetime) * time.Millisecond)
 	return answer, nil
@@ -154,5 +161,15 @@
 	for _, entry := range c.entries {
 		list = append(list, entry.Address)
 	}
+	list = append(list, c.past...)
 	return append(list, c.seeds...)
 }
+
+// remember keeps the addresses of the last answer for when no newer one answers.
+func (c *Caller) remember() {
+	for _, entry := range c.entries {
+		c.past = slices.DeleteFunc(c.past, func(address string) bool { return address == entry.Address })
+		c.past = append([]string{entry.Address}, c.past...)
+	}
+	c.past = c.past[:min(len(c.past), maxPast)]
+}
--- a/jay/jayclient/error.go
+++ b/jay/jayclient/error.go
@@ -13,6 +13,8 @@
 	KindRefused Kind = "refused"
 	// KindNotRun means that the work did not run and will not run under its key.
 	KindNotRun Kind = "not-run"
+	// KindUnavailable means that the instance serves nobody now; the work did not run.
+	KindUnavailable Kind = "unavailable"
 	// KindUnknown means that it is unknown whether the work ran.
 	KindUnknown Kind = "unknown"
 	// KindBroken means that the answer ended before it was whole.
--- a/jay/jayclient/order.go
+++ b/jay/jayclient/order.go
@@ -46,7 +46,7 @@
 		answer, err := c.orderOnce(ctx, service, path, header, body)
 		answer.Attempts = attempts
 		answer.Key = entries.Ticket
-		settled := err == nil || jayerror.Is(err, KindNotRun) || jayerror.Is(err, KindRefused)
+		settled := err == nil || jayerror.Is(err, KindNotRun) || jayerror.Is(err, KindUnavailable) || jayerror.Is(err, KindRefused)
 		if settled || ctx.Err() != nil {
 			return answer, err
 		}
--- a/jay/jayclient/stream.go
+++ b/jay/jayclient/stream.go
@@ -171,5 +171,8 @@
 	if response.StatusCode < http.StatusInternalServerError && response.StatusCode != http.StatusTooManyRequests {
 		kind = KindRefused
 	}
+	if response.StatusCode == http.StatusServiceUnavailable && kind == KindNotRun {
+		kind = KindUnavailable
+	}
 	return jayerror.Newf(op, kind, "status %d: %s", response.StatusCode, message)
 }
--- a/jay/jayentry/answer.go
+++ b/jay/jayentry/answer.go
@@ -38,8 +38,17 @@
 
 // Rank returns the members that callers of a region should use: those that are
 // neither leaving nor silent, near ones first, and among equally near ones in
-// an order drawn at random with weights that fall with their load.
+// an order drawn at random with weights that fall with their load. Where all
+// are leaving, those still serve.
 func Rank(region string, members []jaymember.Status, source *rand.Rand) []Entry {
+	usable := slices.DeleteFunc(slices.Clone(members), func(m jaymember.Status) bool { return !m.Usable() })
+	if len(usable) == 0 {
+		usable = slices.DeleteFunc(slices.Clone(members), func(m jaymember.Status) bool { return m.Silent || m.Config < 0 })
+	}
+	return rank(region, usable, source)
+}
+
+func rank(region string, members []jaymember.Status, source *rand.Rand) []Entry {
 	type ranked struct {
 		entry Entry
 		far   bool
@@ -47,7 +56,7 @@
 	}
 	var list []ranked
 	for _, m := range members {
-		if !m.Usable() || m.Address == "" {
+		if m.Address == "" {
 			continue
 		}
 		weight := 1 / float64(1+m.Load)
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -63,6 +63,8 @@
 	addresses Addresses
 	// leaving is set when a planned stop began.
 	leaving atomic.Bool
+	// configured is set once a configuration is in force.
+	configured atomic.Bool
 }
 
 // Addresses are where an instance listens.
@@ -170,9 +172,9 @@
 		Peers:           i.mesh,
 		Metrics:         i.metrics,
 		Log:             i.log,
-		CheckpointEvery: jayconfig.DefaultCheckpointEvery,
+		CheckpointEvery: int64(s.Checkpoint),
 		CheckpointAge:   s.Retention / checkpointParts,
-		Apply:           func(view *jayconfig.View) { i.dispatcher.Configure(view.State()) },
+		Apply:           i.apply,
 	})
 	i.mesh.Bind(i.follower)
 	i.journal = jayonce.NewJournal(jayonce.JournalOptions{
@@ -198,6 +200,14 @@
 	i.collector = jaystate.NewCollector(i.parts()...)
 }
 
+// apply puts a configuration in force. Once the first is, callers may be sent here.
+func (i *Instance) apply(view *jayconfig.View) {
+	i.dispatcher.Configure(view.State())
+	if !i.configured.Swap(true) {
+		i.group.Go(i.mesh.Announce)
+	}
+}
+
 // checkpointParts is the part of the log's retention after which a checkpoint is due.
 const checkpointParts = 4
 
@@ -209,6 +219,7 @@
 		Peer:        i.addresses.Peer,
 		Region:      i.settings.Region,
 		Zone:        i.settings.Zone,
+		Config:      -1,
 	}
 }
 
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -16,7 +16,7 @@
 	Zone   string `msgpack:"z" json:"zone"`
 	// Leaving is set for good once a planned stop began.
 	Leaving bool `msgpack:"l" json:"leaving"`
-	// Config is the offset up to which configuration is in force.
+	// Config is the offset up to which configuration is in force, -1 while none is known.
 	Config int64 `msgpack:"c" json:"config"`
 	// Load is the number of requests at work.
 	Load int `msgpack:"w" json:"load"`
@@ -37,7 +37,7 @@
 	Silent bool `json:"silent"`
 }
 
-// Usable reports whether callers may be sent to the member.
+// Usable reports whether callers may be sent to the member: it stays, speaks and has a configuration.
 func (s Status) Usable() bool {
-	return !s.Leaving && !s.Silent
+	return !s.Leaving && !s.Silent && s.Config >= 0
 }
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -128,9 +128,8 @@
 func (m *Mesh) Leave(ctx context.Context) {
 	_ = m.owner.Ask(ctx, func(s *state) {
 		s.view.State(func(self *jaymember.Member) { self.Leaving = true })
-		s.ticks = -1
 	})
-	m.tick(ctx)
+	m.Announce(ctx)
 }
 
 // List takes in the platform's list, and gets in touch with instances that are new on it.
@@ -151,6 +150,12 @@
 	_ = m.owner.Tell(context.Background(), func(s *state) { s.hearLoad(time.Now(), name, load) })
 }
 
+// Announce tells all contacts at once of a change of this instance's condition.
+func (m *Mesh) Announce(ctx context.Context) {
+	_ = m.owner.Ask(ctx, func(s *state) { s.ticks = -1 })
+	m.tick(ctx)
+}
+
 // Bind sets where the mesh learns of the configuration; call it before Start.
 func (m *Mesh) Bind(configs Configs) {
 	m.configs = configs
--- a/jay/jayseed/main.go
+++ b/jay/jayseed/main.go
@@ -6,14 +6,22 @@
 	"testing"
 )
 
-// defaultSeed is the seed of runs that name none.
-const defaultSeed = "1"
+// Defaults of the runs, for flags that the command line does not set.
+const (
+	defaultSeed  = "1"
+	defaultSteps = "1000"
+)
 
-// Main runs a package's tests with the seed of the flag -rapid.seed, or the default one.
+// Main runs a package's tests with the seed and the length of the flags
+// -rapid.seed and -rapid.steps, or the default ones.
 func Main(m *testing.M) int {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed != nil && seed.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", defaultSeed)
+	given := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": defaultSeed, "rapid.steps": defaultSteps} {
+		if !given[name] && flag.Lookup(name) != nil {
+			_ = flag.Set(name, value)
+		}
 	}
 	return m.Run()
 }
--- a/jay/jaysetting/settings.go
+++ b/jay/jaysetting/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jayfield.example/jay/jaycall"
+	"jayfield.example/jay/jayconfig"
 	"jayfield.example/jay/jayentry"
 	"jayfield.example/jay/jayini"
 	"jayfield.example/jay/jaylease"
@@ -31,6 +32,8 @@
 	Lifetime time.Duration
 	// Ticket is how long tickets of work that runs at most once may be used.
 	Ticket time.Duration
+	// Checkpoint is the number of configuration records after which a checkpoint is due.
+	Checkpoint int
 	// Lease and Margin are how long a lease runs and how much longer others wait.
 	Lease, Margin time.Duration
 	Limits        jaycall.Limits
@@ -56,18 +59,20 @@
 	maxBody          = 64 << 20
 	maxCalls         = 100_000
 	maxQueue         = 100_000
+	maxCheckpoint    = 100_000
 )
 
 // Default returns the settings of an instance that names none.
 func Default() Settings {
 	return Settings{
-		Retention: defaultRetention,
-		Lifetime:  jayentry.DefaultLifetime,
-		Ticket:    defaultTicket,
-		Lease:     jaylease.DefaultTTL,
-		Margin:    jaylease.DefaultMargin,
-		Limits:    jaycall.DefaultLimits(),
-		Queue:     jayqueue.DefaultLimit,
+		Retention:  defaultRetention,
+		Lifetime:   jayentry.DefaultLifetime,
+		Ticket:     defaultTicket,
+		Checkpoint: jayconfig.DefaultCheckpointEvery,
+		Lease:      jaylease.DefaultTTL,
+		Margin:     jaylease.DefaultMargin,
+		Limits:     jaycall.DefaultLimits(),
+		Queue:      jayqueue.DefaultLimit,
 	}
 }
 
@@ -100,6 +105,7 @@
 		{"platform", urlField("address", &s.Platform), "address of the log and the instance list"},
 		{"platform", jayini.Bool("register", &s.Register), "announce the instance on the list: yes or no"},
 		{"platform", jayini.Duration("retention", &s.Retention, time.Minute), "how long the log keeps records"},
+		{"platform", jayini.Int("checkpoint", &s.Checkpoint, 1, maxCheckpoint), "configuration records between two checkpoints"},
 		{"key", keyField("operator", &s.OperatorKey), "key of operators"},
 		{"key", keyField("peer", &s.PeerKey), "key that all instances share"},
 		{"entry", jayini.Duration("lifetime", &s.Lifetime, 0), "how long callers may keep addresses"},
--- a/jay/jaysite/once_test.go
+++ b/jay/jaysite/once_test.go
@@ -17,12 +17,17 @@
 
 // place sends an order under a key to one instance and returns the status and what the answer says of the run.
 func place(t *testing.T, ctx context.Context, caller *jayclient.Caller, address, key, order string) (int, string) {
+	t.Helper()
+	return placeAt(t, ctx, caller, address, "orders", key, order)
+}
+
+func placeAt(t *testing.T, ctx context.Context, caller *jayclient.Caller, address, service, key, order string) (int, string) {
 	t.Helper()
 	header := http.Header{}
 	if key != "" {
 		header.Set(jaycall.HeaderKey, key)
 	}
-	response, err := caller.Do(ctx, address, http.MethodPost, "/services/orders/place", header, fmt.Appendf(nil, `{"order":%q}`, order))
+	response, err := caller.Do(ctx, address, http.MethodPost, "/services/"+service+"/place", header, fmt.Appendf(nil, `{"order":%q}`, order))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/jay/jaysite/site.go
+++ b/jay/jaysite/site.go
@@ -124,7 +124,7 @@
 func (s *Site) Configure(ctx context.Context) (jayconfig.Report, error) {
 	operator := s.Operator(0)
 	defer operator.Close()
-	if err := s.await(ctx, -1); err != nil {
+	if err := s.Await(ctx, -1); err != nil {
 		return jayconfig.Report{}, err
 	}
 	if err := s.AwaitMembers(ctx); err != nil {
@@ -137,7 +137,7 @@
 	if report.Verdict.Outcome != jayconfig.OutcomeAccepted {
 		return report, errors.Errorf("configuration was not accepted: %s", report.Verdict.Reason)
 	}
-	return report, s.await(ctx, report.Verdict.Offset)
+	return report, s.Await(ctx, report.Verdict.Offset)
 }
 
 // Operator returns an operator's client of an instance.
@@ -173,9 +173,7 @@
 // Stop ends the site at once.
 func (s *Site) Stop() {
 	for _, instance := range s.Instances {
-		select {
-		case <-instance.Done():
-		default:
+		if running(instance) {
 			instance.Kill()
 		}
 	}
@@ -203,12 +201,22 @@
 	return nil
 }
 
-// await waits until every running instance has applied an offset.
-func (s *Site) await(ctx context.Context, offset int64) error {
+// running reports whether an instance has not stopped.
+func running(instance *jayinstance.Instance) bool {
+	select {
+	case <-instance.Done():
+		return false
+	default:
+		return true
+	}
+}
+
+// Await waits until every running instance has applied an offset.
+func (s *Site) Await(ctx context.Context, offset int64) error {
 	for {
 		waiting := false
 		for _, instance := range s.Instances {
-			waiting = waiting || instance.Next() <= offset
+			waiting = waiting || running(instance) && instance.Next() <= offset
 		}
 		if !waiting {
 			return nil
--- a/jay/jaystandin/platform.go
+++ b/jay/jaystandin/platform.go
@@ -30,8 +30,8 @@
 
 // Faults are the ways in which the stand-in platform misbehaves.
 type Faults struct {
-	// Down refuses every request.
-	Down bool
+	// Down refuses every request, LogDown those to the log only.
+	Down, LogDown bool
 	// Latency is added before a record takes effect and before each reply to an append.
 	Latency time.Duration
 	// LoseReplies is the number of appends that take effect without a reply.
@@ -109,7 +109,7 @@
 	faults := p.currentFaults()
 	var record jaylog.Record
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxRecordBytes))
-	if faults.Down || err != nil || msgpack.Unmarshal(data, &record) != nil {
+	if faults.Down || faults.LogDown || err != nil || msgpack.Unmarshal(data, &record) != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return err
 	}
@@ -182,7 +182,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return errors.WithStack(err)
 	}
-	if p.currentFaults().Down {
+	if faults := p.currentFaults(); faults.Down || faults.LogDown {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return nil
 	}
--- a/jaybench/internal/jaycommand/main.go
+++ b/jaybench/internal/jaycommand/main.go
@@ -72,7 +72,7 @@
 		Name:        "jaybench",
 		ShortUsage:  "jaybench [flags] <command> [flags]",
 		FlagSet:     flags,
-		Subcommands: []*ffcli.Command{c.cost(), c.demo()},
+		Subcommands: []*ffcli.Command{c.cost(), c.demo(), c.publish()},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
 				return &usageError{text: fmt.Sprintf("unknown command %q", args[0])}
