--- a/jay/jaycall/complete.go
+++ b/jay/jaycall/complete.go
@@ -51,6 +51,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	f.retries.Earn()
+	f.hedges.Earn()
 	out := newSink(w, c, f)
 	return f.relay(ctx, c, out)
 }
@@ -113,11 +114,16 @@
 
 // acquire asks for an upstream other than the one to avoid.
 func (f *Front) acquire(ctx context.Context, c *completion, avoid string) (jaydispatch.Grant, error) {
-	prefer := ""
+	request := f.requestOf(c, avoid)
 	if avoid == "" {
-		prefer = c.from.upstream
+		request.Prefer = c.from.upstream
 	}
-	return f.Dispatcher.Acquire(ctx, jaydispatch.Request{
+	return f.Dispatcher.Acquire(ctx, request)
+}
+
+// requestOf returns what the dispatcher is told of a completion.
+func (f *Front) requestOf(c *completion, avoid string) jaydispatch.Request {
+	return jaydispatch.Request{
 		Pool:     c.route.Name,
 		Caller:   c.caller.Name,
 		Weight:   c.caller.Weight,
@@ -125,6 +131,5 @@
 		Deadline: c.deadline,
 		Work:     c.work,
 		Avoid:    avoid,
-		Prefer:   prefer,
-	})
+	}
 }
--- a/jay/jaycall/front.go
+++ b/jay/jaycall/front.go
@@ -34,6 +34,7 @@
 type Front struct {
 	Options
 	retries  *jaylimit.Budget
+	hedges   *jaylimit.Budget
 	lengths  *lengths
 	working  atomic.Int64
 	stopping atomic.Bool
@@ -46,6 +47,7 @@
 	return &Front{
 		Options: options,
 		retries: jaylimit.NewBudget(retryRatio, retryBurst),
+		hedges:  jaylimit.NewBudget(hedgeRatio, hedgeBurst),
 		lengths: newLengths(),
 		idle:    make(chan struct{}, 1),
 	}
--- a/jay/jaycall/options.go
+++ b/jay/jaycall/options.go
@@ -68,6 +68,8 @@
 type Options struct {
 	Region      string
 	Incarnation string
+	// Hedge sends work whose first token is late to a second upstream.
+	Hedge bool
 	// Secret signs the positions of streams; all instances have the same.
 	Secret     []byte
 	Limits     Limits
--- a/jay/jaydispatch/request.go
+++ b/jay/jaydispatch/request.go
@@ -23,6 +23,8 @@
 	// Prefer names an upstream that holds the work already, or is empty. It is
 	// granted without waiting unless it leaves.
 	Prefer string
+	// Now refuses rather than waits.
+	Now bool
 }
 
 // Grant assigns an upstream to one piece of work until it is released.
@@ -34,6 +36,8 @@
 	Waited time.Duration
 	// Pace is the upstream's observed time between tokens.
 	Pace time.Duration
+	// Expected is the predicted time to the first token.
+	Expected time.Duration
 
 	upstream *jayroute.Upstream
 	work     jayroute.Work
@@ -60,7 +64,6 @@
 	request Request
 	reply   chan reply
 	item    *jayqueue.Item[*waiter]
-	pool    *jayroute.Pool
 	grant   *Grant
 }
 
--- a/jay/jaydispatch/state.go
+++ b/jay/jaydispatch/state.go
@@ -100,6 +100,7 @@
 		Region:   u.Spec().Region,
 		Waited:   waited,
 		Pace:     u.Pace(),
+		Expected: u.Expected(work),
 		upstream: u,
 		work:     work,
 		ahead:    s.table.Start(u, work),
@@ -170,7 +171,10 @@
 			return
 		}
 	}
-	w.pool = pool
+	if w.request.Now {
+		w.reply <- reply{err: jayerror.New("acquire", KindNoUpstream, "no upstream is free now")}
+		return
+	}
 	w.item = s.item(w)
 	queue.Capacity(float64(pool.Slots()) * s.share)
 	if err := queue.Push(now, w.item, pool.Slots()); err != nil {
--- a/jay/jayengine/client.go
+++ b/jay/jayengine/client.go
@@ -34,10 +34,17 @@
 	fresh *http.Client
 }
 
-// NewClient returns a client with its own connections.
-func NewClient() *Client {
-	kept := newTransport()
-	fresh := newTransport()
+// Dial connects to an upstream.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client with its own connections, made by dial or, where
+// it is nil, in the ordinary way.
+func NewClient(dial Dial) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialBound}).DialContext
+	}
+	kept := newTransport(dial)
+	fresh := newTransport(dial)
 	fresh.DisableKeepAlives = true
 	return &Client{http: newHTTP(kept), fresh: newHTTP(fresh)}
 }
@@ -47,10 +54,9 @@
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialBound}
+func newTransport(dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idlePerUpstream,
 		DisableCompression:  true,
 		IdleConnTimeout:     time.Minute,
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -39,6 +39,7 @@
 	log         *slog.Logger
 	metrics     *jaymetric.Set
 	policy      jayroute.Policy
+	dial        jayengine.Dial
 
 	platform   *jaylog.Client
 	list       *jaylist.Client
@@ -80,6 +81,16 @@
 	return func(i *Instance) { i.metrics = metrics }
 }
 
+// WithDial sets how upstreams are connected to.
+func WithDial(dial jayengine.Dial) Option {
+	return func(i *Instance) { i.dial = dial }
+}
+
+// WithPlanner sets what decides on the roles of the cell's engines.
+func WithPlanner(planner jaycontrol.Planner) Option {
+	return func(i *Instance) { i.planner = planner }
+}
+
 // WithPolicy sets the way to choose among upstreams.
 func WithPolicy(policy jayroute.Policy) Option {
 	return func(i *Instance) { i.policy = policy }
@@ -148,7 +159,7 @@
 	i.writer = jaylog.NewWriter(i.incarnation)
 	i.platform = jaylog.NewClient(s.Platform)
 	i.list = jaylist.NewClient(s.Platform)
-	i.engines = jayengine.NewClient()
+	i.engines = jayengine.NewClient(i.dial)
 	i.rates = jaylimit.New()
 	i.dispatcher = jaydispatch.New(jaydispatch.Options{
 		Region: s.Region, Policy: i.policy, Limit: s.Queue, Seed: uint64(time.Now().UnixNano()),
@@ -183,6 +194,7 @@
 	i.front = jaycall.NewFront(jaycall.Options{
 		Region:      s.Region,
 		Incarnation: i.incarnation,
+		Hedge:       i.policy == jayroute.PolicyPredict,
 		Secret:      []byte(s.PeerKey),
 		Limits:      s.Limits,
 		Configs:     i.follower,
--- a/jay/jaylimit/budget.go
+++ b/jay/jaylimit/budget.go
@@ -23,6 +23,13 @@
 	b.credit = min(b.most, b.credit+b.ratio)
 }
 
+// Return gives one extra request back that was not sent.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.credit = min(b.most, b.credit+1)
+}
+
 // Spend takes one extra request and reports whether the budget allows it.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
--- a/jay/jayroute/upstream.go
+++ b/jay/jayroute/upstream.go
@@ -56,6 +56,11 @@
 	return u.spec.Address
 }
 
+// Expected returns the predicted time to the first token of work that starts now.
+func (u *Upstream) Expected(w Work) time.Duration {
+	return time.Duration(float64(u.prefill+w.Prompt) * u.lead * float64(time.Second))
+}
+
 // Leaving reports whether the upstream takes no new work, for any of the reasons known.
 func (u *Upstream) Leaving() bool {
 	return u.leaving || u.listed || u.ordered || u.spec.Drain || u.report.Leaving
--- a/jay/jaysite/plan.go
+++ b/jay/jaysite/plan.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"jayfield.example/jay/jayinstance"
 	"jayfield.example/jay/jayroute"
 	"jayfield.example/jay/jaysetting"
 	"jayfield.example/jay/jaystandin"
@@ -35,6 +36,8 @@
 	// Engine returns the options of an engine, by its number.
 	Engine func(int) []jaystandin.EngineOption
 	Policy jayroute.Policy
+	// Options returns further options of an instance, by its region.
+	Options func(s *Site, region string) []jayinstance.Option
 	// Lifetime is how long callers may keep addresses.
 	Lifetime time.Duration
 	// Fatal is called for a broken invariant.
--- a/jay/jaysite/site.go
+++ b/jay/jaysite/site.go
@@ -86,7 +86,11 @@
 	if s.plan.Fatal != nil {
 		metrics = jaymetric.NewSet(log, jaymetric.WithFatal(s.plan.Fatal))
 	}
-	instance, err := jayinstance.Start(settings, s.log, jayinstance.WithMetrics(metrics), jayinstance.WithPolicy(s.plan.Policy))
+	options := []jayinstance.Option{jayinstance.WithMetrics(metrics), jayinstance.WithPolicy(s.plan.Policy)}
+	if s.plan.Options != nil {
+		options = append(options, s.plan.Options(s, settings.Region)...)
+	}
+	instance, err := jayinstance.Start(settings, s.log, options...)
 	if err != nil {
 		return nil, errors.Wrap(err, "start instance")
 	}
@@ -201,6 +205,26 @@
 	return nil
 }
 
+// RegionOf returns the region of the upstream at an address without scheme, "" for others.
+func (s *Site) RegionOf(address string) string {
+	for n, engine := range s.Engines {
+		if engine.Address == "http://"+address {
+			return s.plan.region(n)
+		}
+	}
+	for n, service := range s.Services {
+		if service.Address == "http://"+address {
+			return s.plan.region(n)
+		}
+	}
+	return ""
+}
+
+// Region returns the region of an instance by its number.
+func (s *Site) Region(n int) string {
+	return s.plan.region(n)
+}
+
 // running reports whether an instance has not stopped.
 func running(instance *jayinstance.Instance) bool {
 	select {
--- a/jaybench/internal/jaycommand/main.go
+++ b/jaybench/internal/jaycommand/main.go
@@ -72,7 +72,7 @@
 		Name:        "jaybench",
 		ShortUsage:  "jaybench [flags] <command> [flags]",
 		FlagSet:     flags,
-		Subcommands: []*ffcli.Command{c.cost(), c.demo(), c.publish()},
+		Subcommands: []*ffcli.Command{c.cost(), c.demo(), c.publish(), c.run()},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
 				return &usageError{text: fmt.Sprintf("unknown command %q", args[0])}
