Share engines by own part first and refuse at the door

Cause: traced by outcome: with load known 0.5 to 2 s late, instances filled the same engines and starved each other; queues of two routes did not meet; a caller's items waited to their deadline. Change: one queue for pools of the same upstreams; an own part of near slots without regard to late news, more only where slots are seen free; push-out by fair share; admission by fair sharing and the higher priorities' part; ejection only when most streams at an upstream stall.

--- a/jay/jaycall/failure.go
+++ b/jay/jaycall/failure.go
@@ -29,6 +29,8 @@
 	HeaderKey = "Idempotency-Key"
 	// HeaderRegion tells where the caller is, to be given near addresses.
 	HeaderRegion = "Jay-Region"
+	// HeaderWaited carries the time that a request waited for its upstream.
+	HeaderWaited = "Jay-Waited"
 	// HeaderServed names the upstream that served the request.
 	HeaderServed = "Jay-Served-By"
 )
--- a/jay/jaycall/open.go
+++ b/jay/jaycall/open.go
@@ -93,8 +93,6 @@
 
 // hedge assigns a second upstream, if one is free and the budget allows.
 func (f *Front) hedge(ctx context.Context, c *completion, late jaydispatch.Grant) (*progress, bool) {
-	f.Dispatcher.Stall(late, true)
-	defer f.Dispatcher.Stall(late, false)
 	if !f.Hedge || !f.hedges.Spend() {
 		return nil, false
 	}
--- a/jay/jaycall/relay.go
+++ b/jay/jaycall/relay.go
@@ -77,7 +77,7 @@
 func (f *Front) pass(o *opened, c *completion, out sink, state *relayState) error {
 	if o.err == nil {
 		upstream := o.progress.grant.Upstream
-		out.served(f.prefix(cursor{request: c.from.request, upstream: upstream}, c.caller.Name, c.request.body), upstream)
+		out.served(f.prefix(cursor{request: c.from.request, upstream: upstream}, c.caller.Name, c.request.body), upstream, o.progress.grant.Waited)
 		o.err = f.copyEvents(o, out, state)
 		f.Metrics.Add(jaymetric.EventsDropped, int64(o.stream.Dropped()))
 	}
--- a/jay/jaycall/sink.go
+++ b/jay/jaycall/sink.go
@@ -20,8 +20,8 @@
 	// fail ends an answer that cannot be made whole, and returns the
 	// error unless the caller has been told of it.
 	fail(err error) error
-	// served names the stream and the upstream that now serves it.
-	served(prefix, upstream string)
+	// served names the stream, and the upstream that now serves it after a wait.
+	served(prefix, upstream string, waited time.Duration)
 }
 
 func newSink(w http.ResponseWriter, c *completion, f *Front) sink {
@@ -80,10 +80,11 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (s *eventSink) served(prefix, upstream string) {
+func (s *eventSink) served(prefix, upstream string, waited time.Duration) {
 	s.prefix = prefix
 	if !s.begun {
 		s.w.Header().Set(HeaderServed, upstream)
+		s.w.Header().Set(HeaderWaited, waited.String())
 	}
 }
 
@@ -159,7 +160,8 @@
 	return err
 }
 
-func (s *wholeSink) served(_, upstream string) {
+func (s *wholeSink) served(_, upstream string, waited time.Duration) {
+	s.w.Header().Set(HeaderWaited, waited.String())
 	s.w.Header().Set(HeaderServed, upstream)
 }
 
--- a/jay/jaydispatch/dispatcher.go
+++ b/jay/jaydispatch/dispatcher.go
@@ -42,6 +42,7 @@
 		limit:  options.Limit,
 		policy: options.Policy,
 		share:  1,
+		near:   1,
 	}
 	return &Dispatcher{owner: jaytask.NewOwner(s, tickPeriod, (*state).tick)}
 }
@@ -91,11 +92,12 @@
 	d.tell(func(s *state) { s.table.Ordered(engines) })
 }
 
-// Peers records the part of the capacity that is this instance's, and the work
-// that other instances say they run at each upstream.
-func (d *Dispatcher) Peers(share float64, others map[string]int) {
+// Peers records the parts of all capacity and of the near capacity that are this
+// instance's, and the work that other instances say they run at each upstream.
+func (d *Dispatcher) Peers(share, near float64, others map[string]int) {
 	d.tell(func(s *state) {
-		s.share = share
+		s.share, s.near = share, near
+		s.table.Share(near)
 		s.table.Others(others)
 	})
 }
--- a/jay/jaydispatch/request.go
+++ b/jay/jaydispatch/request.go
@@ -64,6 +64,7 @@
 	request Request
 	reply   chan reply
 	item    *jayqueue.Item[*waiter]
+	queue   *jayqueue.Queue[*waiter]
 	grant   *Grant
 }
 
--- a/jay/jaydispatch/state.go
+++ b/jay/jaydispatch/state.go
@@ -16,8 +16,8 @@
 	costs  map[string]poolCost
 	limit  int
 	policy jayroute.Policy
-	// share is the part of the upstreams' capacity that is this instance's.
-	share float64
+	// share and near are the parts of all and of the near capacity that are this instance's.
+	share, near float64
 	// ready is set once a configuration is known.
 	ready bool
 }
@@ -41,29 +41,18 @@
 		return
 	}
 	if w.item != nil {
-		s.queue(w.request.Pool).Remove(w.item)
+		w.queue.Remove(w.item)
 	}
 }
 
 func (s *state) configure(config *jayconfig.State) {
 	s.table.Configure(config)
 	s.ready = true
-	now := time.Now()
-	for name, queue := range s.queues {
-		if _, ok := s.table.Pool(name); !ok {
-			s.refuseAll(queue, now)
-		}
-	}
-	s.drainAll(now)
+	s.requeue(time.Now())
 }
 
-// drain grants the waiting work of a pool as far as its upstreams may take it.
-func (s *state) drain(now time.Time, name string) {
-	queue := s.queues[name]
-	pool, ok := s.table.Pool(name)
-	if queue == nil || !ok {
-		return
-	}
+// drain grants the waiting work of a queue as far as upstreams may take it.
+func (s *state) drain(now time.Time, queue *jayqueue.Queue[*waiter]) {
 	long := true
 	for queue.Size() > 0 {
 		item, late := queue.Peek(now, long)
@@ -71,6 +60,10 @@
 		if item == nil {
 			return
 		}
+		pool, ok := s.table.Pool(item.Value.request.Pool)
+		if !ok {
+			return
+		}
 		u, ok := s.table.Pick(now, pool, s.work(item.Value.request))
 		if !ok && item.Long && long {
 			long = false
@@ -85,10 +78,8 @@
 }
 
 func (s *state) drainAll(now time.Time) {
-	for name, queue := range s.queues {
-		if queue.Size() > 0 {
-			s.drain(now, name)
-		}
+	for _, queue := range s.queues {
+		s.drain(now, queue)
 	}
 }
 
@@ -109,24 +100,30 @@
 	w.reply <- reply{grant: *w.grant}
 }
 
-func (s *state) queue(name string) *jayqueue.Queue[*waiter] {
-	queue, ok := s.queues[name]
+// queue returns the queue that a pool shares with all pools of the same upstreams.
+func (s *state) queue(pool *jayroute.Pool) *jayqueue.Queue[*waiter] {
+	queue, ok := s.queues[pool.Key()]
 	if !ok {
 		queue = jayqueue.New[*waiter](s.limit)
-		s.queues[name] = queue
+		s.queues[pool.Key()] = queue
 	}
 	return queue
 }
 
-func (s *state) refuseAll(queue *jayqueue.Queue[*waiter], now time.Time) {
-	for queue.Size() > 0 {
-		item, late := queue.Peek(now, true)
-		refuseLate(late)
-		if item == nil {
-			return
+// requeue moves all waiting work to the queues of a new configuration.
+func (s *state) requeue(now time.Time) {
+	queues := s.queues
+	s.queues = make(map[string]*jayqueue.Queue[*waiter])
+	for _, queue := range queues {
+		for queue.Size() > 0 {
+			item, late := queue.Peek(now, true)
+			refuseLate(late)
+			if item == nil {
+				break
+			}
+			queue.Take(item)
+			s.submit(now, item.Value)
 		}
-		queue.Take(item)
-		item.Value.reply <- reply{err: jayerror.New("acquire", KindNoPool, "route or service was removed")}
 	}
 }
 
@@ -164,7 +161,7 @@
 		s.grant(now, w, u, 0)
 		return
 	}
-	queue := s.queue(w.request.Pool)
+	queue := s.queue(pool)
 	if queue.Size() == 0 {
 		if u, ok := s.table.Pick(now, pool, s.work(w.request)); ok {
 			s.grant(now, w, u, 0)
@@ -175,13 +172,17 @@
 		w.reply <- reply{err: jayerror.New("acquire", KindNoUpstream, "no upstream is free now")}
 		return
 	}
-	w.item = s.item(w)
-	queue.Capacity(float64(pool.Slots()) * s.share)
-	if err := queue.Push(now, w.item, pool.Slots()); err != nil {
+	w.item, w.queue = s.item(w), queue
+	queue.Capacity(pool.Own(s.share, s.near))
+	pushedOut, err := queue.Push(now, w.item)
+	if err != nil {
 		w.reply <- reply{err: err}
 		return
 	}
-	s.drain(now, w.request.Pool)
+	for _, item := range pushedOut {
+		item.Value.reply <- reply{err: queue.PushedOut()}
+	}
+	s.drain(now, queue)
 }
 
 func (s *state) item(w *waiter) *jayqueue.Item[*waiter] {
@@ -200,12 +201,12 @@
 
 func (s *state) tick(now time.Time) {
 	s.table.Sweep(now)
-	for name, queue := range s.queues {
+	for _, queue := range s.queues {
 		refuseLate(queue.Sweep(now))
-		if pool, ok := s.table.Pool(name); ok {
-			lead, pace := pool.Usual()
-			s.costs[name] = poolCost{lead: lead, pace: pace}
-		}
+	}
+	for _, pool := range s.table.Pools() {
+		lead, pace := pool.Usual()
+		s.costs[pool.Name()] = poolCost{lead: lead, pace: pace}
 	}
 	s.drainAll(now)
 }
--- a/jay/jaydispatch/stateread.go
+++ b/jay/jaydispatch/stateread.go
@@ -15,9 +15,10 @@
 
 // QueueState is what a state dump shows of a queue.
 type QueueState struct {
-	Pool    string `json:"pool"`
-	Waiting int    `json:"waiting"`
-	Slots   int    `json:"slots"`
+	Pool string `json:"pool"`
+	// Waiting counts the work of all pools with the same upstreams.
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
 }
 
 // Dump is what a state dump shows of the dispatcher.
@@ -37,10 +38,10 @@
 		for _, u := range s.table.Upstreams() {
 			dump.Upstreams = append(dump.Upstreams, UpstreamState{Name: u.Name(), View: u.View(now)})
 		}
-		for name, queue := range s.queues {
-			q := QueueState{Pool: name, Waiting: queue.Size()}
-			if pool, ok := s.table.Pool(name); ok {
-				q.Slots = pool.Slots()
+		for _, pool := range s.table.Pools() {
+			q := QueueState{Pool: pool.Name(), Slots: pool.Slots()}
+			if queue, ok := s.queues[pool.Key()]; ok {
+				q.Waiting = queue.Size()
 			}
 			dump.Queues = append(dump.Queues, q)
 		}
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -40,8 +40,8 @@
 type Loads interface {
 	// Running returns this instance's work at each upstream.
 	Running(ctx context.Context) (map[string]int, error)
-	// Peers takes in this instance's share and the work of others.
-	Peers(share float64, others map[string]int)
+	// Peers takes in this instance's share of all and of near capacity, and the work of others.
+	Peers(share, near float64, others map[string]int)
 	// Report takes in a load report.
 	Report(name string, load jayengine.Load)
 }
@@ -318,10 +318,14 @@
 
 // shareOut splits the capacity over the members that take work.
 func (m *Mesh) shareOut(s *state) {
-	members := 1
+	members, near := 1, 1
 	for _, member := range s.members {
-		if member.Usable() {
-			members++
+		if !member.Usable() {
+			continue
+		}
+		members++
+		if member.Region == m.Self.Region {
+			near++
 		}
 	}
 	share := 1 / float64(members)
@@ -331,7 +335,7 @@
 			others[r.Upstream] += r.Count
 		}
 	}
-	m.Loads.Peers(share, others)
+	m.Loads.Peers(share, 1/float64(near), others)
 	m.Share(share)
 }
 
--- a/jay/jayqueue/flow.go
+++ b/jay/jayqueue/flow.go
@@ -1,6 +1,9 @@
 package jayqueue
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // flow is the waiting work of one caller in one band, in order of arrival.
 type flow[T any] struct {
@@ -62,6 +65,47 @@
 	return &band[T]{flows: make(map[string]*flow[T])}
 }
 
+// above returns the newest item of the flow with the most waiting work for its
+// weight, and that work.
+func (b *band[T]) above() (newest *Item[T], share float64) {
+	for _, f := range b.order {
+		if own := f.backlog / float64(f.weight); own > share {
+			newest, share = f.items[len(f.items)-1], own
+		}
+	}
+	return newest, share
+}
+
+// ahead returns the work that fair sharing serves before an item that is pushed now.
+func (b *band[T]) ahead(item *Item[T]) float64 {
+	own := 0.0
+	if f, ok := b.flows[item.Caller]; ok {
+		own = f.backlog
+	}
+	reach := (own + item.Cost) / float64(max(1, item.Weight))
+	total := own
+	for _, f := range b.order {
+		if f.caller != item.Caller {
+			total += min(f.backlog, reach*float64(f.weight))
+		}
+	}
+	return total
+}
+
+// late returns the first items of flows that can no longer be in time.
+func (b *band[T]) late(now time.Time) []*Item[T] {
+	var list []*Item[T]
+	for _, f := range b.order {
+		for _, item := range f.items {
+			if !item.late(now) {
+				break
+			}
+			list = append(list, item)
+		}
+	}
+	return list
+}
+
 func (b *band[T]) head() *Item[T] {
 	if len(b.order) == 0 {
 		return nil
--- a/jay/jayqueue/item.go
+++ b/jay/jayqueue/item.go
@@ -31,6 +31,15 @@
 	return i.arrived
 }
 
+// inTime reports whether the item can be complete by its deadline after a wait.
+func (i *Item[T]) inTime(now time.Time, wait time.Duration) bool {
+	if i.Deadline.IsZero() {
+		return true
+	}
+	left := i.Deadline.Sub(now) - time.Duration(i.Cost*float64(time.Second))
+	return float64(wait) <= safety*float64(left)
+}
+
 // late reports whether the item can no longer be complete by its deadline.
 func (i *Item[T]) late(now time.Time) bool {
 	need := time.Duration(i.Cost * float64(time.Second))
--- a/jay/jayqueue/queue.go
+++ b/jay/jayqueue/queue.go
@@ -16,8 +16,11 @@
 const (
 	// DefaultLimit bounds the items of a queue.
 	DefaultLimit = 4096
-	// callerShare is the part of the limit that one caller may fill.
-	callerShare = 0.25
+	// safety is the part of a caller's time that waiting may take by prediction,
+	// since work that comes later may go before.
+	safety = 0.5
+	// servedWeight is the share of one served item in the averages of what was served.
+	servedWeight = 0.02
 	// floor is the part of the drained work that is kept for lower priorities.
 	floor = 0.2
 )
@@ -39,13 +42,15 @@
 	limit  int
 	count  int
 	credit float64
-	// rate is the capacity in seconds of slots drained in a second, from completions.
+	// rate is the capacity in seconds of slots a second.
 	rate float64
+	// higher is the part of the served work, lately, that was of a priority above each.
+	higher map[jayconfig.Priority]float64
 }
 
 // New returns a queue of at most limit items.
 func New[T any](limit int) *Queue[T] {
-	q := &Queue[T]{bands: make(map[bandKey]*band[T]), limit: limit}
+	q := &Queue[T]{bands: make(map[bandKey]*band[T]), limit: limit, higher: make(map[jayconfig.Priority]float64)}
 	for _, p := range priorities() {
 		q.bands[bandKey{p, false}] = newBand[T]()
 		q.bands[bandKey{p, true}] = newBand[T]()
@@ -71,26 +76,31 @@
 	}
 }
 
-// Push adds an item, or refuses it with a *RefusalError. Slots is the capacity
-// of the pool in slots, used until a drain rate is known.
-func (q *Queue[T]) Push(now time.Time, item *Item[T], slots int) error {
-	if q.count >= q.limit {
-		return refuse(KindFull, q.wait(q.backlog(), slots), "queue is full")
-	}
+// Push adds an item, or refuses it with a *RefusalError. An item of a caller
+// below its share may push out the newest items of a caller above it, which
+// are then refused in its place.
+func (q *Queue[T]) Push(now time.Time, item *Item[T]) (pushedOut []*Item[T], err error) {
 	b := q.bands[item.key()]
-	f := b.flows[item.Caller]
-	if f != nil && float64(len(f.items)) >= callerShare*float64(q.limit) {
-		return refuse(KindFull, q.wait(f.backlog, slots), "caller's part of the queue is full")
-	}
-	wait := q.predict(item, slots)
-	need := time.Duration(item.Cost * float64(time.Second))
-	if !item.Deadline.IsZero() && now.Add(wait+need).After(item.Deadline) {
-		return refuse(KindDeadline, wait, "answer would be later than the deadline")
+	if wait := q.predict(b, item); !item.inTime(now, wait) {
+		return nil, refuse(KindDeadline, wait, "answer would be later than the deadline")
 	}
 	item.arrived = now
 	b.push(item)
 	q.count++
-	return nil
+	for q.count > q.limit || q.full(item, now) {
+		victim := q.victim(item)
+		q.Remove(victim)
+		if victim == item {
+			return pushedOut, refuse(KindFull, q.wait(q.backlog()), "queue is full")
+		}
+		pushedOut = append(pushedOut, victim)
+	}
+	return pushedOut, nil
+}
+
+// PushedOut returns the refusal of an item that was pushed out.
+func (q *Queue[T]) PushedOut() error {
+	return refuse(KindFull, q.wait(q.backlog()), "caller is above its share of a full queue")
 }
 
 // Remove takes out an item whose caller has gone. It reports whether the item still waited.
@@ -113,10 +123,10 @@
 func (q *Queue[T]) Sweep(now time.Time) []*Item[T] {
 	var late []*Item[T]
 	for _, b := range q.bands {
-		for item := b.head(); item != nil && item.late(now); item = b.head() {
-			q.popHead(b)
-			late = append(late, item)
-		}
+		late = append(late, b.late(now)...)
+	}
+	for _, item := range late {
+		q.Remove(item)
 	}
 	return late
 }
@@ -147,6 +157,13 @@
 // charge books a served item: what goes to a priority while lower ones wait
 // earns the lower ones credit, which they spend when they are served.
 func (q *Queue[T]) charge(item *Item[T]) {
+	above := 0.0
+	for _, p := range priorities() {
+		q.higher[p] += servedWeight * (above - q.higher[p])
+		if p == item.Priority {
+			above = 1
+		}
+	}
 	if q.waitsBelow(item.Priority) {
 		q.credit += floor * item.Cost
 		return
@@ -191,9 +208,38 @@
 	q.count--
 }
 
+// full reports whether all that waits takes longer than the item may.
+func (q *Queue[T]) full(item *Item[T], now time.Time) bool {
+	return !item.inTime(now, q.wait(q.backlog()-item.Cost))
+}
+
+// victim returns the item to push out: the newest of the flow that is most
+// above its share among those of the item's priority or a lower one.
+func (q *Queue[T]) victim(item *Item[T]) *Item[T] {
+	worst, most := item, -1.0
+	for _, p := range below(item.Priority) {
+		for _, b := range []*band[T]{q.bands[bandKey{p, false}], q.bands[bandKey{p, true}]} {
+			if newest, share := b.above(); newest != nil && share > most {
+				worst, most = newest, share
+			}
+		}
+		if p != item.Priority && most >= 0 {
+			return worst
+		}
+	}
+	return worst
+}
+
+// below returns the priorities from the lowest up to one.
+func below(priority jayconfig.Priority) []jayconfig.Priority {
+	order := priorities()
+	slices.Reverse(order[:])
+	return order[:slices.Index(order[:], priority)+1]
+}
+
 // predict returns the expected wait of an item: the work of higher priorities
-// and its caller's fair share of its own, but never more than all that waits ahead.
-func (q *Queue[T]) predict(item *Item[T], slots int) time.Duration {
+// and, of its own, what goes before it by fair sharing.
+func (q *Queue[T]) predict(b *band[T], item *Item[T]) time.Duration {
 	ahead := 0.0
 	for _, p := range priorities() {
 		if p == item.Priority {
@@ -201,24 +247,12 @@
 		}
 		ahead += (1 - floor) * (q.bands[bandKey{p, false}].backlog + q.bands[bandKey{p, true}].backlog)
 	}
-	b := q.bands[item.key()]
-	own, weights := 0.0, b.weights
-	if f := b.flows[item.Caller]; f != nil {
-		own = f.backlog
-	} else {
-		weights += max(1, item.Weight)
-	}
-	fair := own * float64(weights) / float64(max(1, item.Weight))
-	return q.wait(ahead+min(fair, b.backlog), slots)
+	return time.Duration(float64(q.wait(ahead+b.ahead(item))) / max(floor, 1-q.higher[item.Priority]))
 }
 
-// wait converts work to time by the drain rate.
-func (q *Queue[T]) wait(cost float64, slots int) time.Duration {
-	rate := q.rate
-	if rate <= 0 {
-		rate = float64(max(1, slots))
-	}
-	return time.Duration(cost / rate * float64(time.Second))
+// wait converts work to time by the capacity.
+func (q *Queue[T]) wait(cost float64) time.Duration {
+	return time.Duration(cost / max(1, q.rate) * float64(time.Second))
 }
 
 func (q *Queue[T]) waitsBelow(priority jayconfig.Priority) bool {
--- a/jay/jayroute/eject.go
+++ b/jay/jayroute/eject.go
@@ -13,6 +13,8 @@
 	// ejectLeast and ejectMost bound how long an ejection lasts.
 	ejectLeast = time.Second
 	ejectMost  = 30 * time.Second
+	// stallsLeast is the least number of stalled streams that say anything of their upstream.
+	stallsLeast = 2
 	// failuresBound is the number of failures in a row after which an upstream is ejected.
 	failuresBound = 3
 )
@@ -69,7 +71,16 @@
 
 // slowness combines pace and stalls into one figure to compare upstreams by.
 func (u *Upstream) slowness() float64 {
-	return u.pace * float64(1+u.stalled)
+	if u.stalling() {
+		return u.pace * (1 + slowRatio)
+	}
+	return u.pace
+}
+
+// stalling reports whether most of this instance's streams at the upstream
+// have stalled. A single one may have causes of its own.
+func (u *Upstream) stalling() bool {
+	return u.stalled >= stallsLeast && 2*u.stalled >= u.running
 }
 
 func (t *Table) eject(now time.Time, u *Upstream) {
--- a/jay/jayroute/explain.go
+++ b/jay/jayroute/explain.go
@@ -108,7 +108,7 @@
 		return "full"
 	case !u.fits(now, w):
 		return "no KV memory left"
-	case !u.accepts(now, w):
+	case !u.takes(now, w):
 		return "long work has its share"
 	default:
 		return verdictServe
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -13,6 +13,10 @@
 	// prefixSlack is how much busier than the pool an upstream may be and still be
 	// preferred for its cached prefix.
 	prefixSlack = 1.25
+	// seenSlots is the least part of the free slots, in slots, that allows one more request.
+	seenSlots = 0.5
+	// farPart is the part of the slots seen to be free at a far upstream that one instance may take.
+	farPart = 0.125
 )
 
 // Pick returns the upstream that should serve the work now, or false where
@@ -25,30 +29,52 @@
 		return pool.least()
 	case PolicyPredict:
 	}
-	if u := t.best(now, pool.near, w); u != nil {
+	near := t.claim(pool, w)
+	if u := t.best(now, pool.near, w, near); u != nil {
 		return u, true
 	}
-	u := t.best(now, pool.far, w)
+	u := t.best(now, pool.far, w, claim{part: farPart})
 	return u, u != nil
 }
 
+// claim is what an instance may take of an upstream's slots.
+type claim struct {
+	// share is the part of the slots that is the instance's own, whatever others do.
+	share float64
+	// part is the part of the slots seen to be free that it may take beyond those: what is
+	// seen is late, and others see the same.
+	part float64
+}
+
+// claim returns the claim on the near upstreams of a pool. The own share is
+// used without regard to what is known of other instances, which is late;
+// more is taken only where slots are seen to be free.
+func (t *Table) claim(pool *Pool, w Work) claim {
+	own := claim{share: t.nearShare, part: t.nearShare}
+	running, slots := pool.nearLoad()
+	if float64(running) >= t.nearShare*float64(slots) {
+		own.share = 0
+	}
+	return own
+}
+
 // best draws two upstreams that may take the work, adds the one that holds
 // its prefix, and returns the one with the earliest predicted completion.
-func (t *Table) best(now time.Time, list []*Upstream, w Work) *Upstream {
+func (t *Table) best(now time.Time, list []*Upstream, w Work, c claim) *Upstream {
 	if len(list) == 0 {
 		return nil
 	}
-	first := t.draw(now, list, w, nil)
+	first := t.draw(now, list, w, c, nil)
 	if first == nil {
 		return nil
 	}
 	choice, least := first, first.predict(now, w, false)
-	if second := t.draw(now, list, w, first); second != nil {
+	if second := t.draw(now, list, w, c, first); second != nil {
 		if seconds := second.predict(now, w, false); seconds < least {
 			choice, least = second, seconds
 		}
 	}
-	if holder := holder(now, list, w); holder != nil {
+	if holder := holder(now, list, w, c); holder != nil {
 		if holder.predict(now, w, true) < least*prefixSlack {
 			choice = holder
 		}
@@ -57,29 +83,32 @@
 }
 
 // draw returns a random upstream that may take the work, other than one.
-func (t *Table) draw(now time.Time, list []*Upstream, w Work, other *Upstream) *Upstream {
+func (t *Table) draw(now time.Time, list []*Upstream, w Work, c claim, other *Upstream) *Upstream {
 	for range probes {
 		u := list[t.source.IntN(len(list))]
-		if u != other && u.accepts(now, w) {
+		if u != other && u.accepts(now, w, c) {
 			return u
 		}
 	}
 	start := t.source.IntN(len(list))
 	for i := range list {
 		u := list[(start+i)%len(list)]
-		if u != other && u.accepts(now, w) {
+		if u != other && u.accepts(now, w, c) {
 			return u
 		}
 	}
 	return nil
 }
 
-// accepts reports whether the upstream may be given the work.
-func (u *Upstream) accepts(now time.Time, w Work) bool {
-	if u.Leaving() || u == w.Avoid || now.Before(u.ejected) {
-		return false
-	}
-	if u.free(now) <= 0 || !u.fits(now, w) {
+// accepts reports whether the upstream may be given the work now under a claim.
+func (u *Upstream) accepts(now time.Time, w Work, c claim) bool {
+	own := float64(u.running) < c.share*float64(u.spec.Slots)
+	return (own || float64(u.free(now))*c.part >= seenSlots) && u.takes(now, w)
+}
+
+// takes reports whether the upstream may be given the work once it has a slot.
+func (u *Upstream) takes(now time.Time, w Work) bool {
+	if u.Leaving() || u == w.Avoid || now.Before(u.ejected) || !u.fits(now, w) {
 		return false
 	}
 	return !w.Long || float64(u.long) < math.Max(1, longShare*float64(u.spec.Slots))
@@ -87,7 +116,7 @@
 
 // holder returns the upstream most likely to hold the work's prefix: the
 // highest rendezvous score among those that may take the work.
-func holder(now time.Time, list []*Upstream, w Work) *Upstream {
+func holder(now time.Time, list []*Upstream, w Work, c claim) *Upstream {
 	if w.Prefix == 0 {
 		return nil
 	}
@@ -98,7 +127,7 @@
 			best, top = u, score
 		}
 	}
-	if !best.accepts(now, w) {
+	if !best.accepts(now, w, c) {
 		return nil
 	}
 	return best
--- a/jay/jayroute/pool.go
+++ b/jay/jayroute/pool.go
@@ -2,20 +2,30 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jayfield.example/jay/jayconfig"
 )
 
 // Pool is the set of upstreams that may serve the work of one route or service.
 type Pool struct {
 	name string
+	// key is the same for pools of the same upstreams, whose work waits together.
+	key string
 	// near are the upstreams of the instance's own region, far all others.
 	near, far []*Upstream
 	// turn counts the picks of the round-robin baseline.
 	turn int
 }
 
+// Key returns what pools of the same upstreams share.
+func (p *Pool) Key() string {
+	return p.key
+}
+
 // Name returns the name of the route's or service's object.
 func (p *Pool) Name() string {
 	return p.name
@@ -38,6 +48,33 @@
 	return total
 }
 
+// Own returns the slots that are this instance's own: its share of the near
+// ones, or of all where none is near.
+func (p *Pool) Own(share, near float64) float64 {
+	if _, slots := p.nearLoad(); slots > 0 {
+		return near * float64(slots)
+	}
+	return share * float64(p.Slots())
+}
+
+// members returns a text that names all upstreams of the pool.
+func (p *Pool) members() string {
+	digest := xxhash.New()
+	for i := range p.Size() {
+		_, _ = digest.WriteString(p.at(i).name + "\x00")
+	}
+	return strconv.FormatUint(digest.Sum64(), 16)
+}
+
+// nearLoad returns this instance's requests at the near upstreams and their slots.
+func (p *Pool) nearLoad() (running, slots int) {
+	for _, u := range p.near {
+		running += u.running
+		slots += u.open()
+	}
+	return running, slots
+}
+
 func (u *Upstream) open() int {
 	if u.Leaving() {
 		return 0
@@ -69,6 +106,7 @@
 				pool.far = append(pool.far, u)
 			}
 		}
+		pool.key = pool.members()
 		pools[pool.name] = pool
 	}
 	return pools
--- a/jay/jayroute/table.go
+++ b/jay/jayroute/table.go
@@ -18,6 +18,8 @@
 	pools     map[string]*Pool
 	policy    Policy
 	ordered   map[string]bool
+	// nearShare is the part of the near upstreams' capacity that is this instance's.
+	nearShare float64
 }
 
 // Policy names a way to choose among upstreams.
@@ -36,6 +38,7 @@
 		region:    region,
 		source:    source,
 		policy:    policy,
+		nearShare: 1,
 		upstreams: make(map[string]*Upstream),
 		pools:     make(map[string]*Pool),
 	}
@@ -122,6 +125,11 @@
 	return p, ok
 }
 
+// Pools returns all pools.
+func (t *Table) Pools() map[string]*Pool {
+	return t.pools
+}
+
 // Report takes in a load report of an upstream.
 func (t *Table) Report(now time.Time, name string, load jayengine.Load) {
 	u, ok := t.upstreams[name]
@@ -136,6 +144,11 @@
 	}
 }
 
+// Share sets the part of the near upstreams' capacity that is this instance's.
+func (t *Table) Share(near float64) {
+	t.nearShare = near
+}
+
 // Start assigns a piece of work to an upstream and returns the prompt tokens ahead of it.
 func (t *Table) Start(u *Upstream, w Work) (ahead int) {
 	ahead = u.prefill
--- a/jay/jayroute/upstream.go
+++ b/jay/jayroute/upstream.go
@@ -123,7 +123,10 @@
 		perSlot := float64(u.decode) * u.pace / float64(max(1, u.running))
 		seconds += float64(busy) * perSlot / float64(u.spec.Slots)
 	}
-	return seconds * float64(1+u.stalled)
+	if u.stalling() {
+		seconds *= 1 + slowRatio
+	}
+	return seconds
 }
 
 // missShare is the part of a prompt that is read although its prefix is cached.
--- a/jaybench/internal/jayexperiment/load.go
+++ b/jaybench/internal/jayexperiment/load.go
@@ -90,6 +90,7 @@
 		}
 		return
 	}
+	outcome.Waited, _ = time.ParseDuration(response.Header.Get(jaycall.HeaderWaited))
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
 		if !bytes.HasPrefix(lines.Bytes(), []byte("data: ")) {
--- a/jaybench/internal/jayexperiment/outcome.go
+++ b/jaybench/internal/jayexperiment/outcome.go
@@ -27,7 +27,9 @@
 	Status  Status
 	// First is the time to the first token, Took to the last or to the refusal.
 	First, Took time.Duration
-	Tokens      int
+	// Waited is the part of First that an instance's queue took.
+	Waited time.Duration
+	Tokens int
 }
 
 const (
@@ -70,6 +72,8 @@
 
 func isDone(o Outcome) bool { return o.Status == StatusDone }
 
+func waited(o Outcome) time.Duration { return o.Waited }
+
 func first(o Outcome) time.Duration { return o.First }
 
 func took(o Outcome) time.Duration { return o.Took }
--- a/jaybench/internal/jayexperiment/scenario.go
+++ b/jaybench/internal/jayexperiment/scenario.go
@@ -113,15 +113,28 @@
 	highPeak := quantile(peak, 99, begun(ClassHigh), first)
 	return []Metric{
 		{"capacity of the engines", "requests/s", most, ""},
-		{"done in time of capacity, at the crest", "%", 100 * float64(count(peak, isDone)) / (most * crestLength.Seconds()), ">= 95"},
+		{"done in time of capacity, at the crest", "%", 100 * completed(observed.Outcomes, quietLength, quietLength+crestLength) / (most * crestLength.Seconds()), ">= 95"},
+		{"refusal p50", "ms", millis(quantile(peak, 50, refused, took)), ""},
 		{"refusal p99", "ms", millis(quantile(peak, 99, refused, took)), "< 50"},
 		{"highest priority, first token p99 at the crest over quiet", "times", ratio(highPeak, highQuiet), "<= 1.5"},
+		{"highest priority, first token p99 quiet", "ms", millis(highQuiet), ""},
+		{"highest priority, first token p50 at the crest", "ms", millis(quantile(peak, 50, begun(ClassHigh), first)), ""},
+		{"highest priority, queue wait p50 at the crest", "ms", millis(quantile(peak, 50, begun(ClassHigh), waited)), ""},
+		{"highest priority, queue wait p99 at the crest", "ms", millis(quantile(peak, 99, begun(ClassHigh), waited)), ""},
 		{"highest priority done at the crest", "%", percentDone(peak, ClassHigh), ""},
 		{"least caller's part of its fair share", "%", fairness(peak), ">= 80"},
 		{"late or failed at the crest", "%", 100 * float64(count(peak, spoiled)) / float64(max(1, len(peak))), ""},
 	}, nil
 }
 
+// completed returns the number of answers whose last token came, in time, within a span.
+func completed(outcomes []Outcome, from, to time.Duration) float64 {
+	return float64(count(outcomes, func(o Outcome) bool {
+		end := o.Arrival.At + o.Took
+		return isDone(o) && end >= from && end < to
+	}))
+}
+
 // spoiled picks requests that took work and gave no whole answer in time.
 func spoiled(o Outcome) bool {
 	return o.Status == StatusLate || o.Status == StatusFailed
--- a/jaybench/internal/jayexperiment/trial.go
+++ b/jaybench/internal/jayexperiment/trial.go
@@ -156,6 +156,9 @@
 	return total
 }
 
+// capacityWarm is how long slots fill before completions are counted.
+const capacityWarm = 2 * time.Second
+
 // capacity measures how many requests of a kind all engines complete a second
 // when their slots are always full, without any instance before them.
 func capacity(ctx context.Context, work Work, d time.Duration, seed uint64) (float64, error) {
@@ -166,8 +169,9 @@
 		return 0, err
 	}
 	defer site.Stop()
-	ctx, cancel := context.WithTimeout(ctx, d)
+	ctx, cancel := context.WithTimeout(ctx, capacityWarm+d)
 	defer cancel()
+	warm := time.Now().Add(capacityWarm)
 	arrivals := draw(seed, []Phase{{Length: time.Minute, Rate: steady(200), Work: work}}, regionNames(), []string{"c"}, d)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	defer client.CloseIdleConnections()
@@ -178,7 +182,7 @@
 			wait.Go(func() {
 				for ctx.Err() == nil {
 					a := arrivals[int(next.Add(1))%len(arrivals)]
-					if askEngine(ctx, client, engine.Address, a, int(next.Load())) {
+					if askEngine(ctx, client, engine.Address, a, int(next.Load())) && time.Now().After(warm) {
 						done.Add(1)
 					}
 				}
