Predict long work by use of the bound, keep it near, hedge sooner

Cause: stragglers were predicted by their caller's mean length and so never counted as long; six of eight slots could hold long work, two for each instance; a late first token was hedged only after 150 ms. Change: learn the part of the bound that answers use; long is six times the usual length; long work holds 40% of an instance's own near slots; hedge after twice the expected wait, at least 60 ms; of callers' shares count those that asked lately.

--- a/jay/jaycall/complete.go
+++ b/jay/jaycall/complete.go
@@ -20,10 +20,8 @@
 	bytesPerToken = 4
 	// prefixBytes is the length of the prompt prefix that affinity goes by.
 	prefixBytes = 512
-	// longTokens is the predicted work above which a request counts as long,
-	// in output tokens, a prompt token counting as promptWeight of one.
-	longTokens   = 1500
-	promptWeight = 0.1
+	// promptWeight is the work of a prompt token as part of that of an output token.
+	promptWeight = 0.01
 )
 
 // completion is a request for tokens as far as the front reads it.
@@ -33,6 +31,8 @@
 	stream bool
 	route  jayconfig.NamedRoute
 	work   jayroute.Work
+	// bound is the most tokens that the caller wants, 0 for no bound.
+	bound int
 	// body is what the engine gets.
 	body     []byte
 	from     cursor
@@ -80,22 +80,23 @@
 			return nil, err
 		}
 	}
-	c.work = f.workOf(c, fields[4].Raw+fields[5].Raw, int(max(fields[2].Int(), fields[3].Int())))
+	c.bound = int(max(fields[2].Int(), fields[3].Int()))
+	c.work = f.workOf(c, fields[4].Raw+fields[5].Raw)
 	c.body, err = engineBody(c)
 	return c, err
 }
 
 // workOf predicts the work of a request.
-func (f *Front) workOf(c *completion, prompt string, bound int) jayroute.Work {
+func (f *Front) workOf(c *completion, prompt string) jayroute.Work {
 	work := jayroute.Work{
 		Prompt: len(prompt)/bytesPerToken + 1,
-		Output: f.lengths.predict(c.caller.Name, c.model, bound),
+		Output: f.lengths.predict(c.caller.Name, c.model, c.bound),
 		Region: f.Region,
 	}
 	if len(prompt) >= prefixBytes {
 		work.Prefix = xxhash.Sum64String(prompt[:prefixBytes])
 	}
-	work.Long = float64(work.Output)+promptWeight*float64(work.Prompt) > longTokens
+	work.Long = f.lengths.long(work.Output + int(promptWeight*float64(work.Prompt)))
 	return work
 }
 
--- a/jay/jaycall/lengths.go
+++ b/jay/jaycall/lengths.go
@@ -1,6 +1,9 @@
 package jaycall
 
-import "sync"
+import (
+	"math"
+	"sync"
+)
 
 const (
 	// firstOutput is the assumed length of an answer before any was observed, in tokens.
@@ -9,49 +12,76 @@
 	weightNew = 0.1
 	// lengthsKept bounds the accounts whose answers are learned.
 	lengthsKept = 10_000
+	// longFactor is how many times longer than usual predicted work counts as long.
+	longFactor = 6
 )
 
 // lengths learns how long the answers to each account and model are. It is
 // safe for concurrent use.
 type lengths struct {
-	mu   sync.Mutex
-	mean map[lengthKey]float64
+	mu     sync.Mutex
+	habits map[lengthKey]habit
+	// usual is the moving average of the logarithm of all lengths, which a few
+	// stragglers hardly move.
+	usual float64
 }
 
 type lengthKey struct {
 	caller, model string
 }
 
+// habit is what is known of the answers to one account and model.
+type habit struct {
+	// mean is the length in tokens, ratio the part of the requested bound that is used.
+	mean, ratio float64
+}
+
 func newLengths() *lengths {
-	return &lengths{mean: make(map[lengthKey]float64)}
+	return &lengths{habits: make(map[lengthKey]habit), usual: math.Log(firstOutput)}
 }
 
-// learn takes in the length of an answer in tokens.
-func (l *lengths) learn(caller, model string, tokens int) {
+// learn takes in the length of an answer in tokens and the bound that its
+// request gave, 0 for none.
+func (l *lengths) learn(caller, model string, tokens, bound int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.usual += weightNew * (math.Log(float64(max(1, tokens))) - l.usual)
 	key := lengthKey{caller, model}
-	mean, ok := l.mean[key]
+	h, ok := l.habits[key]
 	if !ok {
-		if len(l.mean) < lengthsKept {
-			l.mean[key] = float64(tokens)
+		if len(l.habits) >= lengthsKept {
+			return
 		}
-		return
+		h = habit{mean: float64(tokens), ratio: 1}
 	}
-	l.mean[key] = mean + weightNew*(float64(tokens)-mean)
+	h.mean += weightNew * (float64(tokens) - h.mean)
+	if bound > 0 {
+		h.ratio += weightNew * (min(1, float64(tokens)/float64(bound)) - h.ratio)
+	}
+	l.habits[key] = h
+}
+
+// long reports whether predicted work is many times longer than usual.
+func (l *lengths) long(tokens int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(tokens) > longFactor*math.Exp(l.usual)
 }
 
-// predict returns the expected length of an answer, at most the bound that
-// the request gives; a bound of 0 is none.
+// predict returns the expected length of an answer in tokens: the usual part
+// of the bound that the request gives, or the usual length without one.
 func (l *lengths) predict(caller, model string, bound int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	mean, ok := l.mean[lengthKey{caller, model}]
-	if !ok {
-		mean = firstOutput
-	}
-	if bound > 0 {
-		return min(bound, int(mean)+1)
+	h, ok := l.habits[lengthKey{caller, model}]
+	switch {
+	case !ok && bound > 0:
+		return min(bound, firstOutput)
+	case !ok:
+		return firstOutput
+	case bound > 0:
+		return int(h.ratio*float64(bound)) + 1
+	default:
+		return int(h.mean) + 1
 	}
-	return int(mean) + 1
 }
--- a/jay/jaycall/open.go
+++ b/jay/jaycall/open.go
@@ -15,8 +15,8 @@
 	hedgeBurst = 10
 	// hedgeFactor and hedgeLeast say when a first token is late: after several
 	// times the expected wait, but not before the least.
-	hedgeFactor = 3
-	hedgeLeast  = 150 * time.Millisecond
+	hedgeFactor = 2
+	hedgeLeast  = 60 * time.Millisecond
 )
 
 // opened is a stream with its first event, or the error instead.
--- a/jay/jaycall/relay.go
+++ b/jay/jaycall/relay.go
@@ -26,7 +26,7 @@
 	for attempt := 1; ; attempt++ {
 		err := f.attempt(ctx, c, out, &state)
 		if err == nil {
-			f.lengths.learn(c.caller.Name, c.model, int(state.next))
+			f.lengths.learn(c.caller.Name, c.model, int(state.next), c.bound)
 			return nil
 		}
 		if !f.again(ctx, err, attempt) {
--- a/jay/jayqueue/flow.go
+++ b/jay/jayqueue/flow.go
@@ -57,12 +57,23 @@
 	order   flowHeap[T]
 	virtual float64
 	count   int
-	weights int
 	backlog float64
+	// asked are the callers that asked lately, and asking is the sum of their weights.
+	asked  map[string]asked
+	asking int
 }
 
+// asked is when a caller last asked.
+type asked struct {
+	weight int
+	last   time.Time
+}
+
+// askedWindow is how long a caller that asked counts among those that share.
+const askedWindow = 3 * time.Second
+
 func newBand[T any]() *band[T] {
-	return &band[T]{flows: make(map[string]*flow[T])}
+	return &band[T]{flows: make(map[string]*flow[T]), asked: make(map[string]asked)}
 }
 
 // above returns the newest item of the flow with the most waiting work for its
@@ -76,20 +87,29 @@
 	return newest, share
 }
 
-// ahead returns the work that fair sharing serves before an item that is pushed now.
-func (b *band[T]) ahead(item *Item[T]) float64 {
-	own := 0.0
-	if f, ok := b.flows[item.Caller]; ok {
-		own = f.backlog
+// own returns the waiting work of a caller.
+func (b *band[T]) own(caller string) float64 {
+	if f, ok := b.flows[caller]; ok {
+		return f.backlog
 	}
-	reach := (own + item.Cost) / float64(max(1, item.Weight))
-	total := own
-	for _, f := range b.order {
-		if f.caller != item.Caller {
-			total += min(f.backlog, reach*float64(f.weight))
+	return 0
+}
+
+// note records that a caller asks for the band's service.
+func (b *band[T]) note(now time.Time, item *Item[T]) {
+	weight := max(1, item.Weight)
+	b.asking += weight - b.asked[item.Caller].weight
+	b.asked[item.Caller] = asked{weight: weight, last: now}
+}
+
+// forget drops callers that no longer ask.
+func (b *band[T]) forget(now time.Time) {
+	for caller, a := range b.asked {
+		if now.Sub(a.last) > askedWindow {
+			b.asking -= a.weight
+			delete(b.asked, caller)
 		}
 	}
-	return total
 }
 
 // late returns the first items of flows that can no longer be in time.
@@ -133,7 +153,6 @@
 	if !ok {
 		f = &flow[T]{caller: item.Caller, weight: max(1, item.Weight), finish: b.virtual}
 		b.flows[item.Caller] = f
-		b.weights += f.weight
 	}
 	item.start = max(b.virtual, f.finish)
 	f.finish = item.start + item.Cost/float64(f.weight)
@@ -175,7 +194,6 @@
 func (b *band[T]) drop(f *flow[T]) {
 	heap.Remove(&b.order, f.index)
 	delete(b.flows, f.caller)
-	b.weights -= f.weight
 	if b.count == 0 {
 		b.backlog = 0
 	}
--- a/jay/jayqueue/queue.go
+++ b/jay/jayqueue/queue.go
@@ -18,9 +18,9 @@
 	DefaultLimit = 4096
 	// safety is the part of a caller's time that waiting may take by prediction,
 	// since work that comes later may go before.
-	safety = 0.5
+	safety = 0.45
 	// servedWeight is the share of one served item in the averages of what was served.
-	servedWeight = 0.02
+	servedWeight = 0.05
 	// floor is the part of the drained work that is kept for lower priorities.
 	floor = 0.2
 )
@@ -81,6 +81,7 @@
 // are then refused in its place.
 func (q *Queue[T]) Push(now time.Time, item *Item[T]) (pushedOut []*Item[T], err error) {
 	b := q.bands[item.key()]
+	b.note(now, item)
 	if wait := q.predict(b, item); !item.inTime(now, wait) {
 		return nil, refuse(KindDeadline, wait, "answer would be later than the deadline")
 	}
@@ -123,6 +124,7 @@
 func (q *Queue[T]) Sweep(now time.Time) []*Item[T] {
 	var late []*Item[T]
 	for _, b := range q.bands {
+		b.forget(now)
 		late = append(late, b.late(now)...)
 	}
 	for _, item := range late {
@@ -237,8 +239,9 @@
 	return order[:slices.Index(order[:], priority)+1]
 }
 
-// predict returns the expected wait of an item: the work of higher priorities
-// and, of its own, what goes before it by fair sharing.
+// predict returns the expected wait of an item. A caller without waiting work
+// waits for all that is before it; other work of a caller has the caller's
+// share among those that asked lately, of what higher priorities leave.
 func (q *Queue[T]) predict(b *band[T], item *Item[T]) time.Duration {
 	ahead := 0.0
 	for _, p := range priorities() {
@@ -247,7 +250,12 @@
 		}
 		ahead += (1 - floor) * (q.bands[bandKey{p, false}].backlog + q.bands[bandKey{p, true}].backlog)
 	}
-	return time.Duration(float64(q.wait(ahead+b.ahead(item))) / max(floor, 1-q.higher[item.Priority]))
+	if own := b.own(item.Caller); own > 0 {
+		ahead += (own + item.Cost) * float64(b.asking) / float64(max(1, item.Weight))
+	} else {
+		ahead += b.backlog
+	}
+	return time.Duration(float64(q.wait(ahead)) / max(floor, 1-q.higher[item.Priority]))
 }
 
 // wait converts work to time by the capacity.
--- a/jay/jayroute/explain.go
+++ b/jay/jayroute/explain.go
@@ -40,7 +40,7 @@
 		seconds := u.predict(now, w, false)
 		reasons = append(reasons, Reason{
 			Upstream:  u.name,
-			Verdict:   u.verdict(now, w),
+			Verdict:   t.verdict(u, now, w),
 			Near:      i < len(pool.near),
 			Predicted: time.Duration(seconds * float64(time.Second)),
 		})
@@ -92,7 +92,7 @@
 	}
 }
 
-func (u *Upstream) verdict(now time.Time, w Work) string {
+func (t *Table) verdict(u *Upstream, now time.Time, w Work) string {
 	switch {
 	case u.spec.Drain:
 		return "drained by configuration"
@@ -108,7 +108,7 @@
 		return "full"
 	case !u.fits(now, w):
 		return "no KV memory left"
-	case !u.takes(now, w):
+	case !t.takes(u, now, w):
 		return "long work has its share"
 	default:
 		return verdictServe
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -9,13 +9,15 @@
 	// probes is the number of random upstreams looked at before all are.
 	probes = 8
 	// longShare is the part of an upstream's slots that long work may hold.
-	longShare = 0.25
+	longShare = 0.4
 	// prefixSlack is how much busier than the pool an upstream may be and still be
 	// preferred for its cached prefix.
 	prefixSlack = 1.25
 	// seenSlots is the least part of the free slots, in slots, that allows one more request.
-	seenSlots = 0.5
-	// farPart is the part of the slots seen to be free at a far upstream that one instance may take.
+	seenSlots = 0.9
+	// guestLoad is the part of a far upstream's slots that others may use before guests stay away.
+	guestLoad = 0.4
+	// farPart is the part of a far upstream's slots that one instance may hold.
 	farPart = 0.125
 )
 
@@ -29,11 +31,34 @@
 		return pool.least()
 	case PolicyPredict:
 	}
-	near := t.claim(pool, w)
+	near := t.claim(pool)
+	if w.Long {
+		return t.pickLong(now, pool, w, near)
+	}
 	if u := t.best(now, pool.near, w, near); u != nil {
 		return u, true
 	}
-	u := t.best(now, pool.far, w, claim{part: farPart})
+	u := t.best(now, pool.far, w, claim{guest: farPart})
+	return u, u != nil
+}
+
+// pickLong returns the upstream for long work, which stays near and holds only
+// a part of the instance's own slots.
+func (t *Table) pickLong(now time.Time, pool *Pool, w Work, c claim) (*Upstream, bool) {
+	list := pool.near
+	if len(list) == 0 {
+		list = pool.far
+	}
+	running, slots := 0, 0
+	for _, u := range list {
+		running += u.long
+		slots += u.open()
+	}
+	own := longShare * t.nearShare * float64(slots)
+	if float64(running) >= math.Max(1, own) {
+		return nil, false
+	}
+	u := t.best(now, list, w, c)
 	return u, u != nil
 }
 
@@ -44,12 +69,15 @@
 	// part is the part of the slots seen to be free that it may take beyond those: what is
 	// seen is late, and others see the same.
 	part float64
+	// guest is the part of the slots that it may take as a guest of another region,
+	// where others leave most of them free.
+	guest float64
 }
 
 // claim returns the claim on the near upstreams of a pool. The own share is
 // used without regard to what is known of other instances, which is late;
 // more is taken only where slots are seen to be free.
-func (t *Table) claim(pool *Pool, w Work) claim {
+func (t *Table) claim(pool *Pool) claim {
 	own := claim{share: t.nearShare, part: t.nearShare}
 	running, slots := pool.nearLoad()
 	if float64(running) >= t.nearShare*float64(slots) {
@@ -74,7 +102,7 @@
 			choice, least = second, seconds
 		}
 	}
-	if holder := holder(now, list, w, c); holder != nil {
+	if holder := t.holder(now, list, w, c); holder != nil {
 		if holder.predict(now, w, true) < least*prefixSlack {
 			choice = holder
 		}
@@ -86,14 +114,14 @@
 func (t *Table) draw(now time.Time, list []*Upstream, w Work, c claim, other *Upstream) *Upstream {
 	for range probes {
 		u := list[t.source.IntN(len(list))]
-		if u != other && u.accepts(now, w, c) {
+		if u != other && t.accepts(u, now, w, c) {
 			return u
 		}
 	}
 	start := t.source.IntN(len(list))
 	for i := range list {
 		u := list[(start+i)%len(list)]
-		if u != other && u.accepts(now, w, c) {
+		if u != other && t.accepts(u, now, w, c) {
 			return u
 		}
 	}
@@ -101,22 +129,25 @@
 }
 
 // accepts reports whether the upstream may be given the work now under a claim.
-func (u *Upstream) accepts(now time.Time, w Work, c claim) bool {
+func (t *Table) accepts(u *Upstream, now time.Time, w Work, c claim) bool {
 	own := float64(u.running) < c.share*float64(u.spec.Slots)
-	return (own || float64(u.free(now))*c.part >= seenSlots) && u.takes(now, w)
+	seen := c.part > 0 && float64(u.free(now))*c.part >= seenSlots
+	guest := c.guest > 0 && float64(u.running) < c.guest*float64(u.spec.Slots) &&
+		float64(u.elsewhere(now)) <= guestLoad*float64(u.spec.Slots)
+	return (own || seen || guest) && t.takes(u, now, w)
 }
 
 // takes reports whether the upstream may be given the work once it has a slot.
-func (u *Upstream) takes(now time.Time, w Work) bool {
+func (t *Table) takes(u *Upstream, now time.Time, w Work) bool {
 	if u.Leaving() || u == w.Avoid || now.Before(u.ejected) || !u.fits(now, w) {
 		return false
 	}
-	return !w.Long || float64(u.long) < math.Max(1, longShare*float64(u.spec.Slots))
+	return !w.Long || float64(u.long) < math.Max(1, math.Round(longShare*t.nearShare*float64(u.spec.Slots)))
 }
 
 // holder returns the upstream most likely to hold the work's prefix: the
 // highest rendezvous score among those that may take the work.
-func holder(now time.Time, list []*Upstream, w Work, c claim) *Upstream {
+func (t *Table) holder(now time.Time, list []*Upstream, w Work, c claim) *Upstream {
 	if w.Prefix == 0 {
 		return nil
 	}
@@ -127,7 +158,7 @@
 			best, top = u, score
 		}
 	}
-	if !best.accepts(now, w, c) {
+	if !t.accepts(best, now, w, c) {
 		return nil
 	}
 	return best
