--- a/jay/jaycall/complete.go
+++ b/jay/jaycall/complete.go
@@ -96,6 +96,7 @@
 	if len(prompt) >= prefixBytes {
 		work.Prefix = xxhash.Sum64String(prompt[:prefixBytes])
 	}
+	work.Urgent = c.route.Priority == jayconfig.PriorityHigh
 	work.Long = f.lengths.long(work.Output + int(promptWeight*float64(work.Prompt)))
 	return work
 }
--- a/jay/jaycall/open.go
+++ b/jay/jaycall/open.go
@@ -16,7 +16,7 @@
 	// hedgeFactor and hedgeLeast say when a first token is late: after several
 	// times the expected wait, but not before the least.
 	hedgeFactor = 2
-	hedgeLeast  = 60 * time.Millisecond
+	hedgeLeast  = 80 * time.Millisecond
 )
 
 // opened is a stream with its first event, or the error instead.
@@ -83,6 +83,8 @@
 			}
 			return o
 		case <-timer.C:
+			f.Dispatcher.Late(first.grant, true)
+			defer f.Dispatcher.Late(first.grant, false)
 			if second, ok := f.hedge(ctx, c, first.grant); ok {
 				pending++
 				start(second)
--- a/jay/jaydispatch/dispatcher.go
+++ b/jay/jaydispatch/dispatcher.go
@@ -82,6 +82,11 @@
 	d.tell(func(s *state) { s.table.First(g.upstream, g.work, g.ahead, took) })
 }
 
+// Late records that the first token of granted work is late, or no longer.
+func (d *Dispatcher) Late(g Grant, late bool) {
+	d.tell(func(s *state) { s.table.Late(g.upstream, late) })
+}
+
 // Leaving records which upstreams the platform's list shows as leaving.
 func (d *Dispatcher) Leaving(names map[string]bool) {
 	d.tell(func(s *state) { s.table.List(names) })
--- a/jay/jayroute/eject.go
+++ b/jay/jayroute/eject.go
@@ -27,6 +27,15 @@
 	}
 }
 
+// Late records that the first token of a stream is late, or no longer.
+func (t *Table) Late(u *Upstream, late bool) {
+	if late {
+		u.late++
+	} else {
+		u.late--
+	}
+}
+
 // Resume records that a stalled stream gave a token again, or ended.
 func (t *Table) Resume(u *Upstream) {
 	u.stalled = max(0, u.stalled-1)
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -13,6 +13,13 @@
 	// prefixSlack is how much busier than the pool an upstream may be and still be
 	// preferred for its cached prefix.
 	prefixSlack = 1.25
+	// urgentSlots is the number of own slots that are left free for urgent work, and
+	// urgentWindow is how long after the last of it.
+	urgentSlots  = 1
+	urgentWindow = 10 * time.Second
+	// spareSlots is how many requests beyond its own share an instance may have
+	// where single slots are seen to be free.
+	spareSlots = 2
 	// seenSlots is the least part of the free slots, in slots, that allows one more request.
 	seenSlots = 0.9
 	// guestLoad is the part of a far upstream's slots that others may use before guests stay away.
@@ -31,7 +38,10 @@
 		return pool.least()
 	case PolicyPredict:
 	}
-	near := t.claim(pool)
+	if w.Urgent {
+		t.urgent = now
+	}
+	near := t.claim(now, pool, w)
 	if w.Long {
 		return t.pickLong(now, pool, w, near)
 	}
@@ -66,6 +76,10 @@
 type claim struct {
 	// share is the part of the slots that is the instance's own, whatever others do.
 	share float64
+	// extra is the number of slots beyond the share.
+	extra float64
+	// spare allows a slot that is seen to be free.
+	spare bool
 	// part is the part of the slots seen to be free that it may take beyond those: what is
 	// seen is late, and others see the same.
 	part float64
@@ -77,11 +91,23 @@
 // claim returns the claim on the near upstreams of a pool. The own share is
 // used without regard to what is known of other instances, which is late;
 // more is taken only where slots are seen to be free.
-func (t *Table) claim(pool *Pool) claim {
+//
+// While urgent work comes, other work leaves a slot of the own share free for
+// it, and urgent work may go a slot beyond: engines serve it first.
+func (t *Table) claim(now time.Time, pool *Pool, w Work) claim {
 	own := claim{share: t.nearShare, part: t.nearShare}
 	running, slots := pool.nearLoad()
-	if float64(running) >= t.nearShare*float64(slots) {
-		own.share = 0
+	most := t.nearShare * float64(slots)
+	switch {
+	case w.Urgent:
+		most += urgentSlots
+		own.extra = urgentSlots
+	case now.Sub(t.urgent) < urgentWindow:
+		most -= urgentSlots
+	}
+	own.spare = !w.Long && float64(running) < most+spareSlots
+	if float64(running) >= most {
+		own.share, own.extra = 0, 0
 	}
 	return own
 }
@@ -130,8 +156,9 @@
 
 // accepts reports whether the upstream may be given the work now under a claim.
 func (t *Table) accepts(u *Upstream, now time.Time, w Work, c claim) bool {
-	own := float64(u.running) < c.share*float64(u.spec.Slots)
-	seen := c.part > 0 && float64(u.free(now))*c.part >= seenSlots
+	own := float64(u.running) < c.share*float64(u.spec.Slots)+c.extra
+	free := u.free(now)
+	seen := c.part > 0 && float64(free)*c.part >= seenSlots || c.spare && free > 0
 	guest := c.guest > 0 && float64(u.running) < c.guest*float64(u.spec.Slots) &&
 		float64(u.elsewhere(now)) <= guestLoad*float64(u.spec.Slots)
 	return (own || seen || guest) && t.takes(u, now, w)
--- a/jay/jayroute/table.go
+++ b/jay/jayroute/table.go
@@ -18,6 +18,8 @@
 	pools     map[string]*Pool
 	policy    Policy
 	ordered   map[string]bool
+	// urgent is when urgent work last asked for an upstream.
+	urgent time.Time
 	// nearShare is the part of the near upstreams' capacity that is this instance's.
 	nearShare float64
 }
--- a/jay/jayroute/upstream.go
+++ b/jay/jayroute/upstream.go
@@ -43,8 +43,9 @@
 	ordered  bool
 	ejected  time.Time
 	ejection time.Duration
-	stalled  int
-	failures int
+	// stalled and late count own streams that stopped giving tokens, and whose first is late.
+	stalled, late int
+	failures      int
 }
 
 func newUpstream(name string, spec *jayconfig.Upstream) *Upstream {
@@ -123,7 +124,7 @@
 		perSlot := float64(u.decode) * u.pace / float64(max(1, u.running))
 		seconds += float64(busy) * perSlot / float64(u.spec.Slots)
 	}
-	if u.stalling() {
+	if u.late > 0 || 2*u.stalled > u.running {
 		seconds *= 1 + slowRatio
 	}
 	return seconds
--- a/jay/jayroute/work.go
+++ b/jay/jayroute/work.go
@@ -12,6 +12,8 @@
 	Prefix uint64
 	// Long marks work that takes many times longer than the rest.
 	Long bool
+	// Urgent marks work of the highest priority.
+	Urgent bool
 	// Region is where the work came in.
 	Region string
 	// Avoid is an upstream that has failed the work already.
--- a/jay/jaysite/fault_test.go
+++ b/jay/jaysite/fault_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"jayfield.example/jay/jayclient"
+	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaysetting"
 	"jayfield.example/jay/jaysite"
@@ -205,6 +206,10 @@
 		"own answer": func(_ *testing.T, _ context.Context, site *jaysite.Site) {
 			site.Engines[0].SetFaults(jaystandin.EngineFaults{Leaving: true})
 		},
+		"platform's list": func(_ *testing.T, _ context.Context, site *jaysite.Site) {
+			engine := site.Engines[0]
+			site.Platform.List(jaylist.Instance{Name: engine.Name, Sort: jaylist.SortUpstream, Address: engine.Address, State: jaylist.StateLeaving})
+		},
 		"configuration": func(t *testing.T, ctx context.Context, site *jaysite.Site) {
 			operator := site.Operator(1)
 			text := strings.Replace(site.Document(), "address = "+site.Engines[0].Address+"\n", "address = "+site.Engines[0].Address+"\ndrain = yes\n", 1)
