--- /dev/null
+++ b/jay/jayconfig/caller.go
@@ -0,0 +1,63 @@
+package jayconfig
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"strings"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"jayfield.example/jay/jayini"
+)
+
+// Caller is an account that may send requests.
+type Caller struct {
+	// Hash is the SHA-256 of the account's key.
+	Hash   [sha256.Size]byte
+	Labels labels.Set
+	// Weight is the account's share among callers that wait.
+	Weight int
+	// Rate bounds the account's requests a second over all instances; 0 is no bound.
+	Rate int
+}
+
+const (
+	hashPrefix = "sha256:"
+	maxWeight  = 100
+	maxRate    = 100_000
+)
+
+func newCaller() *Caller {
+	return &Caller{Labels: labels.Set{}, Weight: 1}
+}
+
+// HashKey returns the form in which a caller's key stands in the configuration.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hashPrefix + hex.EncodeToString(sum[:])
+}
+
+// Matches reports in constant time whether sum is the hash of the account's key.
+func (c *Caller) Matches(sum [sha256.Size]byte) bool {
+	return subtle.ConstantTimeCompare(c.Hash[:], sum[:]) == 1
+}
+
+func (c *Caller) fields() []jayini.Field {
+	return []jayini.Field{
+		jayini.Required(jayini.Field{Name: "key", Set: c.setHash}),
+		labelsField("labels", &c.Labels),
+		jayini.Int("weight", &c.Weight, 1, maxWeight),
+		jayini.Int("rate", &c.Rate, 0, maxRate),
+	}
+}
+
+func (c *Caller) setHash(value string) error {
+	sum, err := hex.DecodeString(strings.TrimPrefix(value, hashPrefix))
+	if !strings.HasPrefix(value, hashPrefix) || err != nil || len(sum) != sha256.Size {
+		return errors.New("not sha256: and 64 hexadecimal digits; make it with jayfield hash")
+	}
+	copy(c.Hash[:], sum)
+	return nil
+}
--- a/jay/jayconfig/follower.go
+++ b/jay/jayconfig/follower.go
@@ -71,11 +71,9 @@
 	available atomic.Bool
 }
 
-// NewFollower starts to follow the stream.
+// NewFollower returns a follower that has read nothing.
 func NewFollower(options FollowerOptions) *Follower {
-	f := &Follower{FollowerOptions: options, group: jaytask.NewGroup(), seen: time.Now()}
-	f.group.Go(f.run)
-	return f
+	return &Follower{FollowerOptions: options, group: jaytask.NewGroup(), seen: time.Now()}
 }
 
 // Available reports whether the last read of the log succeeded.
@@ -97,6 +95,11 @@
 	return view.State().Next()
 }
 
+// Start begins to follow the stream; what Apply uses must be ready by then.
+func (f *Follower) Start() {
+	f.group.Go(f.run)
+}
+
 // Stop ends the follower.
 func (f *Follower) Stop() {
 	f.group.Stop()
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -239,6 +239,7 @@
 func (i *Instance) run(l listeners) {
 	i.peers = jaypeer.NewServer(l.peer, []byte(i.settings.PeerKey), i.mesh, i.log)
 	i.mesh.Start()
+	i.follower.Start()
 	i.watcher = jaywatch.New(i.member(), i.mesh, i.follower, i.mesh, i.engines)
 	i.group.Every(listPeriod, i.readList)
 	i.control = jaycontrol.New(jaycontrol.Options{
--- /dev/null
+++ b/jay/jaymesh/exchange.go
@@ -0,0 +1,140 @@
+package jaymesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaypeer"
+)
+
+// round is one exchange of digests with one contact.
+type round struct {
+	client *client
+	digest Digest
+}
+
+// tick states this instance's condition and exchanges digests.
+func (m *Mesh) tick(ctx context.Context) {
+	running, err := m.Loads.Running(ctx)
+	if err != nil {
+		return
+	}
+	own := make([]Running, 0, len(running))
+	for name, count := range running {
+		own = append(own, Running{Upstream: name, Count: count})
+	}
+	working, next := m.Working(), m.configs.Next()
+	var rounds []round
+	_ = m.owner.Ask(ctx, func(s *state) {
+		s.view.State(func(self *jaymember.Member) {
+			self.Load = working
+			self.Config = next
+		})
+		rounds = m.plan(s, own)
+	})
+	for _, r := range rounds {
+		m.group.Go(func(ctx context.Context) { m.exchange(ctx, r) })
+	}
+}
+
+// plan advances the view and returns the exchanges of this tick.
+func (m *Mesh) plan(s *state, own []Running) []round {
+	now := time.Now()
+	s.view.Tick(now)
+	s.members = s.view.Members()
+	s.forget(now)
+	m.shareOut(s)
+	far := s.ticks%farEvery == 0 || s.ticks < 0
+	s.ticks++
+	var rounds []round
+	for _, contact := range m.targets(s, far) {
+		c := m.client(s, contact.Peer)
+		if c.busy {
+			continue
+		}
+		c.busy = true
+		near := contact.Zone == m.Self.Zone
+		rounds = append(rounds, round{client: c, digest: s.digest(now, own, near)})
+	}
+	return rounds
+}
+
+// targets returns the contacts that this instance calls now.
+func (m *Mesh) targets(s *state, far bool) []jaymember.Status {
+	var list []jaymember.Status
+	for _, contact := range jaymember.Contacts(s.view.Self(), s.members) {
+		if contact.Zone == m.Self.Zone || far {
+			list = append(list, contact)
+		}
+	}
+	for _, seed := range s.view.Seeds() {
+		list = append(list, jaymember.Status{Member: jaymember.Member{Name: seed.Name, Peer: seed.Peer, Zone: seed.Zone}})
+	}
+	return list
+}
+
+// shareOut splits the capacity over the members that take work.
+func (m *Mesh) shareOut(s *state) {
+	members, near := 1, 1
+	for _, member := range s.members {
+		if !member.Usable() {
+			continue
+		}
+		members++
+		if member.Region == m.Self.Region {
+			near++
+		}
+	}
+	share := 1 / float64(members)
+	others := make(map[string]int)
+	for _, told := range s.running {
+		for _, r := range told.list {
+			others[r.Upstream] += r.Count
+		}
+	}
+	m.Loads.Peers(share, 1/float64(near), others)
+	m.Share(share)
+}
+
+// exchange sends a digest and takes in the reply.
+func (m *Mesh) exchange(ctx context.Context, r round) {
+	defer func() {
+		_ = m.owner.Tell(context.Background(), func(*state) { r.client.busy = false })
+	}()
+	body, err := msgpack.Marshal(&r.digest)
+	if err != nil {
+		m.Log.Error("digest not encoded", "error", err)
+		return
+	}
+	reply, err := r.client.Ask(ctx, jaypeer.TopicDigest, body, jaypeer.SilentBound)
+	if err != nil {
+		m.Log.Debug("digest not exchanged", "error", err)
+		return
+	}
+	_ = m.hear(ctx, reply)
+}
+
+// hear takes in the digest of another instance.
+func (m *Mesh) hear(ctx context.Context, body []byte) error {
+	var digest Digest
+	if err := msgpack.Unmarshal(body, &digest); err != nil {
+		return wrapError("digest", err)
+	}
+	now := time.Now()
+	for _, l := range digest.Loads {
+		m.Loads.Report(l.Upstream, l.Load)
+	}
+	return m.owner.Ask(ctx, func(s *state) {
+		s.view.Hear(now, digest.From)
+		for _, member := range digest.Members {
+			s.view.Hear(now, member)
+		}
+		for _, l := range digest.Loads {
+			s.hearLoad(now, l.Upstream, l.Load)
+		}
+		s.running[digest.From.Incarnation] = counted{heard: now, list: digest.Running}
+	})
+}
--- a/jay/jaysite/recovery_test.go
+++ b/jay/jaysite/recovery_test.go
@@ -153,6 +153,20 @@
 	}
 }
 
+// The configuration may arrive at once; whatever it sets in motion must be ready by then.
+func TestInstancesStartWhileConfigurationArrives(t *testing.T) {
+	t.Parallel()
+	site, ctx := start(t, func(p *jaysite.Plan) { p.Instances = 1 })
+	for range 20 {
+		if _, err := site.AddInstance(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := site.Await(ctx, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func awaitCheckpoint(t *testing.T, ctx context.Context, site *jaysite.Site) {
 	t.Helper()
 	for ctx.Err() == nil {
