Split near slots exactly between the instances of a region

Change: what an even split leaves over goes to instances in turn, another for each upstream, so the parts add up to the slots.

--- a/jay/jaydispatch/dispatcher.go
+++ b/jay/jaydispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"jayfield.example/jay/jayconfig"
 	"jayfield.example/jay/jayengine"
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jayqueue"
 	"jayfield.example/jay/jayroute"
 	"jayfield.example/jay/jaytask"
@@ -42,7 +43,6 @@
 		limit:  options.Limit,
 		policy: options.Policy,
 		share:  1,
-		near:   1,
 	}
 	return &Dispatcher{owner: jaytask.NewOwner(s, tickPeriod, (*state).tick)}
 }
@@ -97,12 +97,12 @@
 	d.tell(func(s *state) { s.table.Ordered(engines) })
 }
 
-// Peers records the parts of all capacity and of the near capacity that are this
-// instance's, and the work that other instances say they run at each upstream.
-func (d *Dispatcher) Peers(share, near float64, others map[string]int) {
+// Peers records the place of this instance among the others, and the work that
+// they say they run at each upstream.
+func (d *Dispatcher) Peers(place jaymember.Place, others map[string]int) {
 	d.tell(func(s *state) {
-		s.share, s.near = share, near
-		s.table.Share(near)
+		s.share = 1 / float64(place.All)
+		s.table.Share(place.Rank, place.Near)
 		s.table.Others(others)
 	})
 }
--- a/jay/jaydispatch/state.go
+++ b/jay/jaydispatch/state.go
@@ -16,8 +16,8 @@
 	costs  map[string]poolCost
 	limit  int
 	policy jayroute.Policy
-	// share and near are the parts of all and of the near capacity that are this instance's.
-	share, near float64
+	// share is the part of all capacity that is this instance's.
+	share float64
 	// ready is set once a configuration is known.
 	ready bool
 }
@@ -173,7 +173,7 @@
 		return
 	}
 	w.item, w.queue = s.item(w), queue
-	queue.Capacity(pool.Own(s.share, s.near))
+	queue.Capacity(pool.Own(s.table, s.share))
 	pushedOut, err := queue.Push(now, w.item)
 	if err != nil {
 		w.reply <- reply{err: err}
--- a/jay/jaymesh/exchange.go
+++ b/jay/jaymesh/exchange.go
@@ -78,25 +78,15 @@
 
 // shareOut splits the capacity over the members that take work.
 func (m *Mesh) shareOut(s *state) {
-	members, near := 1, 1
-	for _, member := range s.members {
-		if !member.Usable() {
-			continue
-		}
-		members++
-		if member.Region == m.Self.Region {
-			near++
-		}
-	}
-	share := 1 / float64(members)
+	place := jaymember.PlaceOf(m.Self, s.members)
 	others := make(map[string]int)
 	for _, told := range s.running {
 		for _, r := range told.list {
 			others[r.Upstream] += r.Count
 		}
 	}
-	m.Loads.Peers(share, 1/float64(near), others)
-	m.Share(share)
+	m.Loads.Peers(place, others)
+	m.Share(1 / float64(place.All))
 }
 
 // exchange sends a digest and takes in the reply.
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -40,8 +40,8 @@
 type Loads interface {
 	// Running returns this instance's work at each upstream.
 	Running(ctx context.Context) (map[string]int, error)
-	// Peers takes in this instance's share of all and of near capacity, and the work of others.
-	Peers(share, near float64, others map[string]int)
+	// Peers takes in this instance's place among the others, and their work.
+	Peers(place jaymember.Place, others map[string]int)
 	// Report takes in a load report.
 	Report(name string, load jayengine.Load)
 }
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -17,10 +17,8 @@
 	// urgentWindow is how long after the last of it.
 	urgentSlots  = 1
 	urgentWindow = 10 * time.Second
-	// spareSlots is how many requests beyond its own share an instance may have
-	// where single slots are seen to be free.
-	spareSlots = 2
-	// seenSlots is the least part of the free slots, in slots, that allows one more request.
+	// seenSlots is how many slots for each instance must be seen free before one takes more
+	// than its own part: what is seen is late, and others see the same.
 	seenSlots = 0.9
 	// guestLoad is the part of a far upstream's slots that others may use before guests stay away.
 	guestLoad = 0.4
@@ -48,7 +46,7 @@
 	if u := t.best(now, pool.near, w, near); u != nil {
 		return u, true
 	}
-	u := t.best(now, pool.far, w, claim{guest: farPart})
+	u := t.best(now, pool.far, w, claim{})
 	return u, u != nil
 }
 
@@ -64,7 +62,7 @@
 		running += u.long
 		slots += u.open()
 	}
-	own := longShare * t.nearShare * float64(slots)
+	own := longShare * float64(slots) / float64(t.count)
 	if float64(running) >= math.Max(1, own) {
 		return nil, false
 	}
@@ -72,44 +70,43 @@
 	return u, u != nil
 }
 
-// claim is what an instance may take of an upstream's slots.
+// claim is what an instance may take of an upstream's slots: its own part
+// where it is near, or the place of a guest.
 type claim struct {
-	// share is the part of the slots that is the instance's own, whatever others do.
-	share float64
-	// extra is the number of slots beyond the share.
-	extra float64
-	// spare allows a slot that is seen to be free.
-	spare bool
-	// part is the part of the slots seen to be free that it may take beyond those: what is
-	// seen is late, and others see the same.
-	part float64
-	// guest is the part of the slots that it may take as a guest of another region,
-	// where others leave most of them free.
-	guest float64
+	near bool
+	// own is set while the instance does not use all of its own slots.
+	own bool
 }
 
 // claim returns the claim on the near upstreams of a pool. The own share is
 // used without regard to what is known of other instances, which is late;
 // more is taken only where slots are seen to be free.
 //
-// While urgent work comes, other work leaves a slot of the own share free for
-// it, and urgent work may go a slot beyond: engines serve it first.
+// While urgent work comes, other work leaves a slot of the own part free for it.
 func (t *Table) claim(now time.Time, pool *Pool, w Work) claim {
-	own := claim{share: t.nearShare, part: t.nearShare}
-	running, slots := pool.nearLoad()
-	most := t.nearShare * float64(slots)
-	switch {
-	case w.Urgent:
-		most += urgentSlots
-		own.extra = urgentSlots
-	case now.Sub(t.urgent) < urgentWindow:
-		most -= urgentSlots
+	running, own := 0, 0
+	for _, u := range pool.near {
+		running += u.running
+		own += t.part(u)
 	}
-	own.spare = !w.Long && float64(running) < most+spareSlots
-	if float64(running) >= most {
-		own.share, own.extra = 0, 0
+	if !w.Urgent && now.Sub(t.urgent) < urgentWindow {
+		own -= urgentSlots
 	}
-	return own
+	return claim{own: running < own, near: true}
+}
+
+// part returns the slots of a near upstream that are this instance's own. The
+// parts of all instances add up to the slots: what an even split leaves over
+// goes to instances in turn, another one for each upstream.
+func (t *Table) part(u *Upstream) int {
+	if u.Leaving() {
+		return 0
+	}
+	even, over := u.spec.Slots/t.count, u.spec.Slots%t.count
+	if (t.rank+int(u.hash%uint64(t.count)))%t.count < over { //nolint:gosec // Counts of instances are small.
+		return even + 1
+	}
+	return even
 }
 
 // best draws two upstreams that may take the work, adds the one that holds
@@ -156,12 +153,15 @@
 
 // accepts reports whether the upstream may be given the work now under a claim.
 func (t *Table) accepts(u *Upstream, now time.Time, w Work, c claim) bool {
-	own := float64(u.running) < c.share*float64(u.spec.Slots)+c.extra
-	free := u.free(now)
-	seen := c.part > 0 && float64(free)*c.part >= seenSlots || c.spare && free > 0
-	guest := c.guest > 0 && float64(u.running) < c.guest*float64(u.spec.Slots) &&
-		float64(u.elsewhere(now)) <= guestLoad*float64(u.spec.Slots)
-	return (own || seen || guest) && t.takes(u, now, w)
+	slots := float64(u.spec.Slots)
+	allowed := false
+	switch {
+	case c.near:
+		allowed = c.own && u.running < t.part(u) || float64(u.free(now)) >= seenSlots*float64(t.count)
+	default:
+		allowed = float64(u.running) < farPart*slots && float64(u.elsewhere(now)) <= guestLoad*slots
+	}
+	return allowed && t.takes(u, now, w)
 }
 
 // takes reports whether the upstream may be given the work once it has a slot.
@@ -169,7 +169,7 @@
 	if u.Leaving() || u == w.Avoid || now.Before(u.ejected) || !u.fits(now, w) {
 		return false
 	}
-	return !w.Long || float64(u.long) < math.Max(1, math.Round(longShare*t.nearShare*float64(u.spec.Slots)))
+	return !w.Long || float64(u.long) < math.Max(1, math.Round(longShare*float64(u.spec.Slots)/float64(t.count)))
 }
 
 // holder returns the upstream most likely to hold the work's prefix: the
--- a/jay/jayroute/pool.go
+++ b/jay/jayroute/pool.go
@@ -48,11 +48,15 @@
 	return total
 }
 
-// Own returns the slots that are this instance's own: its share of the near
-// ones, or of all where none is near.
-func (p *Pool) Own(share, near float64) float64 {
-	if _, slots := p.nearLoad(); slots > 0 {
-		return near * float64(slots)
+// Own returns the slots that are this instance's own: its part of the near
+// ones, or its share of all where none is near.
+func (p *Pool) Own(t *Table, share float64) float64 {
+	own := 0
+	for _, u := range p.near {
+		own += t.part(u)
+	}
+	if own > 0 {
+		return float64(own)
 	}
 	return share * float64(p.Slots())
 }
@@ -66,15 +70,6 @@
 	return strconv.FormatUint(digest.Sum64(), 16)
 }
 
-// nearLoad returns this instance's requests at the near upstreams and their slots.
-func (p *Pool) nearLoad() (running, slots int) {
-	for _, u := range p.near {
-		running += u.running
-		slots += u.open()
-	}
-	return running, slots
-}
-
 func (u *Upstream) open() int {
 	if u.Leaving() {
 		return 0
--- a/jay/jayroute/table.go
+++ b/jay/jayroute/table.go
@@ -20,8 +20,8 @@
 	ordered   map[string]bool
 	// urgent is when urgent work last asked for an upstream.
 	urgent time.Time
-	// nearShare is the part of the near upstreams' capacity that is this instance's.
-	nearShare float64
+	// rank is the place of this instance among the count that share the near upstreams.
+	rank, count int
 }
 
 // Policy names a way to choose among upstreams.
@@ -40,7 +40,7 @@
 		region:    region,
 		source:    source,
 		policy:    policy,
-		nearShare: 1,
+		count:     1,
 		upstreams: make(map[string]*Upstream),
 		pools:     make(map[string]*Pool),
 	}
@@ -146,9 +146,9 @@
 	}
 }
 
-// Share sets the part of the near upstreams' capacity that is this instance's.
-func (t *Table) Share(near float64) {
-	t.nearShare = near
+// Share sets the place of this instance among those that share the near upstreams.
+func (t *Table) Share(rank, count int) {
+	t.rank, t.count = rank, count
 }
 
 // Start assigns a piece of work to an upstream and returns the prompt tokens ahead of it.
