Remember signs of slowness for a second

Cause: a slowed stream gives a token every 200 ms, so its stall came and went within each gap and new work was sent to the slow engine in between. Change: a majority of stalled streams, or a late first token, counts against an upstream for a second.

--- a/jay/jaycall/open.go
+++ b/jay/jaycall/open.go
@@ -83,8 +83,7 @@
 			}
 			return o
 		case <-timer.C:
-			f.Dispatcher.Late(first.grant, true)
-			defer f.Dispatcher.Late(first.grant, false)
+			f.Dispatcher.Late(first.grant)
 			if second, ok := f.hedge(ctx, c, first.grant); ok {
 				pending++
 				start(second)
--- a/jay/jaydispatch/dispatcher.go
+++ b/jay/jaydispatch/dispatcher.go
@@ -82,9 +82,9 @@
 	d.tell(func(s *state) { s.table.First(g.upstream, g.work, g.ahead, took) })
 }
 
-// Late records that the first token of granted work is late, or no longer.
-func (d *Dispatcher) Late(g Grant, late bool) {
-	d.tell(func(s *state) { s.table.Late(g.upstream, late) })
+// Late records that the first token of granted work is late.
+func (d *Dispatcher) Late(g Grant) {
+	d.tell(func(s *state) { s.table.Late(time.Now(), g.upstream) })
 }
 
 // Leaving records which upstreams the platform's list shows as leaving.
@@ -121,7 +121,7 @@
 func (d *Dispatcher) Stall(g Grant, stalled bool) {
 	d.tell(func(s *state) {
 		if stalled {
-			s.table.Stall(g.upstream)
+			s.table.Stall(time.Now(), g.upstream)
 		} else {
 			s.table.Resume(g.upstream)
 		}
--- a/jay/jayroute/eject.go
+++ b/jay/jayroute/eject.go
@@ -13,6 +13,9 @@
 	// ejectLeast and ejectMost bound how long an ejection lasts.
 	ejectLeast = time.Second
 	ejectMost  = 30 * time.Second
+	// slowMemory is how long a sign of slowness counts. A slowed stream gives a token
+	// now and then, which is no sign that it is fast again.
+	slowMemory = time.Second
 	// stallsLeast is the least number of stalled streams that say anything of their upstream.
 	stallsLeast = 2
 	// failuresBound is the number of failures in a row after which an upstream is ejected.
@@ -27,13 +30,9 @@
 	}
 }
 
-// Late records that the first token of a stream is late, or no longer.
-func (t *Table) Late(u *Upstream, late bool) {
-	if late {
-		u.late++
-	} else {
-		u.late--
-	}
+// Late records that the first token of a stream is late.
+func (t *Table) Late(now time.Time, u *Upstream) {
+	u.slow = now.Add(slowMemory)
 }
 
 // Resume records that a stalled stream gave a token again, or ended.
@@ -42,8 +41,11 @@
 }
 
 // Stall records that a stream of the upstream gave no token for several times its pace.
-func (t *Table) Stall(u *Upstream) {
+func (t *Table) Stall(now time.Time, u *Upstream) {
 	u.stalled++
+	if 2*u.stalled >= u.running {
+		u.slow = now.Add(slowMemory)
+	}
 }
 
 // Sweep ejects the upstreams that are several times slower than the median of
--- a/jay/jayroute/upstream.go
+++ b/jay/jayroute/upstream.go
@@ -43,9 +43,11 @@
 	ordered  bool
 	ejected  time.Time
 	ejection time.Duration
-	// stalled and late count own streams that stopped giving tokens, and whose first is late.
-	stalled, late int
-	failures      int
+	// stalled counts own streams that stopped giving tokens.
+	stalled int
+	// slow is until when a stalled stream or a late first token counts against the upstream.
+	slow     time.Time
+	failures int
 }
 
 func newUpstream(name string, spec *jayconfig.Upstream) *Upstream {
@@ -124,7 +126,7 @@
 		perSlot := float64(u.decode) * u.pace / float64(max(1, u.running))
 		seconds += float64(busy) * perSlot / float64(u.spec.Slots)
 	}
-	if u.late > 0 || 2*u.stalled > u.running {
+	if now.Before(u.slow) {
 		seconds *= 1 + slowRatio
 	}
 	return seconds
