--- a/jay/jaymesh/exchange.go
+++ b/jay/jaymesh/exchange.go
@@ -104,26 +104,28 @@
 		m.Log.Debug("digest not exchanged", "error", err)
 		return
 	}
-	_ = m.hear(ctx, reply)
+	if _, err := m.hear(ctx, reply); err != nil {
+		m.Log.Debug("digest not read", "error", err)
+	}
 }
 
-// hear takes in the digest of another instance.
-func (m *Mesh) hear(ctx context.Context, body []byte) error {
+// hear takes in the digest of another instance and returns who sent it.
+func (m *Mesh) hear(ctx context.Context, body []byte) (jaymember.Member, error) {
 	var digest Digest
 	if err := msgpack.Unmarshal(body, &digest); err != nil {
-		return wrapError("digest", err)
+		return jaymember.Member{}, wrapError("digest", err)
 	}
 	now := time.Now()
 	for _, l := range digest.Loads {
 		m.Loads.Report(l.Upstream, l.Load)
 	}
-	return m.owner.Ask(ctx, func(s *state) {
+	return digest.From, m.owner.Ask(ctx, func(s *state) {
 		s.view.Hear(now, digest.From)
 		for _, member := range digest.Members {
 			s.view.Hear(now, member)
 		}
 		for _, l := range digest.Loads {
-			s.hearLoad(now, l.Upstream, l.Load)
+			s.hearLoad(now, l.Upstream, l.Load, false)
 		}
 		s.running[digest.From.Incarnation] = counted{heard: now, list: digest.Running}
 	})
--- a/jay/jaymesh/handle.go
+++ b/jay/jaymesh/handle.go
@@ -36,7 +36,8 @@
 }
 
 func (m *Mesh) handleDigest(ctx context.Context, body []byte) ([]byte, error) {
-	if err := m.hear(ctx, body); err != nil {
+	from, err := m.hear(ctx, body)
+	if err != nil {
 		return nil, err
 	}
 	running, err := m.Loads.Running(ctx)
@@ -49,7 +50,7 @@
 		for name, count := range running {
 			own = append(own, Running{Upstream: name, Count: count})
 		}
-		reply = s.digest(time.Now(), own, false)
+		reply = s.digest(time.Now(), own, from.Zone == m.Self.Zone)
 	})
 	if err != nil {
 		return nil, err
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -149,7 +149,7 @@
 // Watched takes in a load report that this instance fetched itself.
 func (m *Mesh) Watched(name string, load jayengine.Load) {
 	m.Loads.Report(name, load)
-	_ = m.owner.Tell(context.Background(), func(s *state) { s.hearLoad(time.Now(), name, load) })
+	_ = m.owner.Tell(context.Background(), func(s *state) { s.hearLoad(time.Now(), name, load, true) })
 }
 
 // client returns the client of an address, made when first needed.
--- a/jay/jaymesh/state.go
+++ b/jay/jaymesh/state.go
@@ -34,12 +34,17 @@
 type heardLoad struct {
 	measured time.Time
 	load     jayengine.Load
+	// own is set for reports that this instance fetched itself.
+	own bool
 }
 
 // digest returns what a contact is told.
 func (s *state) digest(now time.Time, own []Running, near bool) Digest {
 	d := Digest{From: s.view.Self(), Running: own}
 	for name, heard := range s.loads {
+		if near && !heard.own {
+			continue
+		}
 		if !near && len(s.loads) > loadsPassed {
 			break
 		}
@@ -98,10 +103,10 @@
 	}
 }
 
-func (s *state) hearLoad(now time.Time, name string, load jayengine.Load) {
+func (s *state) hearLoad(now time.Time, name string, load jayengine.Load, own bool) {
 	measured := load.Measured(now)
 	if known, ok := s.loads[name]; ok && !measured.After(known.measured) {
 		return
 	}
-	s.loads[name] = heardLoad{measured: measured, load: load}
+	s.loads[name] = heardLoad{measured: measured, load: load, own: own}
 }
--- a/jay/jaysite/fault_test.go
+++ b/jay/jaysite/fault_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(site.Stop)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	t.Cleanup(cancel)
 	if _, err := site.Configure(ctx); err != nil {
 		t.Fatal(err)
@@ -174,17 +174,20 @@
 	t.Parallel()
 	site, ctx := start(t, func(p *jaysite.Plan) { p.Lifetime = 300 * time.Millisecond })
 	caller := site.Caller(account("shop-12"), "amman")
-	var wait sync.WaitGroup
+	var wait, begun sync.WaitGroup
 	for n := range 12 {
+		begun.Add(1)
+		first := sync.OnceFunc(begun.Done)
 		wait.Go(func() {
+			defer first()
 			prompt := fmt.Sprintf("order %d", n)
-			got, err := caller.Stream(ctx, chat(prompt, 200), nil)
+			got, err := caller.Stream(ctx, chat(prompt, 200), func(string) { first() })
 			if err != nil || got.Resumes > 0 || got.Text != jaystandin.Answer(prompt, 200) {
 				t.Errorf("stream %d: resumes = %d, tokens = %d, error = %v", n, got.Resumes, got.Tokens, err)
 			}
 		})
 	}
-	time.Sleep(100 * time.Millisecond)
+	begun.Wait()
 	if err := site.Instances[0].Stop(ctx); err != nil {
 		t.Error(err)
 	}
--- a/jay/jaysite/once_test.go
+++ b/jay/jaysite/once_test.go
@@ -121,7 +121,7 @@
 func TestOrderOfAKilledHomeIsUnknown(t *testing.T) {
 	t.Parallel()
 	site, ctx := start(t, nil)
-	site.Services[0].SetFaults(jaystandin.ServiceFaults{Delay: 300 * time.Millisecond})
+	site.Services[0].SetFaults(jaystandin.ServiceFaults{Delay: 2 * time.Second})
 	caller := site.Caller(account("shop-12"), "")
 	response, err := caller.Do(ctx, "http://"+site.Instances[0].Addresses().Caller, http.MethodPost, "/services/orders/place", nil, nil)
 	if err != nil {
@@ -130,15 +130,20 @@
 	_ = response.Body.Close()
 	ticket := response.Header.Get(jaycall.HeaderTicket)
 	go func() {
-		time.Sleep(100 * time.Millisecond)
+		for site.Services[0].Begun() == 0 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
 		site.Instances[0].Kill()
 	}()
-	short, cancel := context.WithTimeout(ctx, 2*time.Second)
+	short, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
 	_, run := place(t, short, caller, "http://"+site.Instances[1].Addresses().Caller, ticket, "o-3")
 	if run != "unknown" {
 		t.Errorf("run = %q, want unknown", run)
 	}
+	for site.Services[0].Total() == 0 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
 	if runs := site.Services[0].Runs("o-3"); runs != 1 {
 		t.Errorf("order ran %d times", runs)
 	}
@@ -177,7 +182,7 @@
 		p.Instances = 1
 		p.Extra = "" // One service upstream with 64 slots.
 	})
-	site.Services[0].SetFaults(jaystandin.ServiceFaults{Delay: 800 * time.Millisecond})
+	site.Services[0].SetFaults(jaystandin.ServiceFaults{Delay: 2 * time.Second})
 	caller := site.Caller(account("shop-12"), "")
 	var wait sync.WaitGroup
 	for n := range 64 {
@@ -185,7 +190,9 @@
 			_, _ = caller.Order(ctx, jaysite.Service, "/place", fmt.Appendf(nil, `{"order":"fill-%d"}`, n))
 		})
 	}
-	time.Sleep(200 * time.Millisecond)
+	for site.Services[0].Begun() < 64 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
 	short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 	defer cancel()
 	_, err := caller.Order(short, jaysite.Service, "/place", []byte(`{"order":"late"}`))
--- a/jay/jaystandin/service.go
+++ b/jay/jaystandin/service.go
@@ -25,6 +25,7 @@
 	mu     sync.Mutex
 	runs   map[string]int
 	number int
+	begun  int
 	faults ServiceFaults
 }
 
@@ -40,6 +41,13 @@
 	Count int    `json:"stock"`
 }
 
+// Begun returns how many calls have reached the service.
+func (s *Service) Begun() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
+}
+
 // NewService returns a service that has run nothing.
 func NewService() *Service {
 	return &Service{runs: make(map[string]int)}
@@ -66,7 +74,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	faults := s.currentFaults()
+	faults := s.begin()
 	if faults.Leaving {
 		w.Header().Set("X-Leaving", "yes")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -93,9 +101,10 @@
 	s.faults = faults
 }
 
-func (s *Service) currentFaults() ServiceFaults {
+func (s *Service) begin() ServiceFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.begun++
 	return s.faults
 }
 
--- a/jaybench/internal/jayexperiment/summary.go
+++ b/jaybench/internal/jayexperiment/summary.go
@@ -30,7 +30,8 @@
 	for at := range rows {
 		list := values[at]
 		slices.Sort(list)
-		rows[at].Least, rows[at].Median, rows[at].Most = list[0], list[len(list)/2], list[len(list)-1]
+		middle := (list[(len(list)-1)/2] + list[len(list)/2]) / 2
+		rows[at].Least, rows[at].Median, rows[at].Most = list[0], middle, list[len(list)-1]
 	}
 	slices.SortStableFunc(rows, func(a, b Row) int { return order(rows, a.Metric) - order(rows, b.Metric) })
 	return rows
