--- a/jay/jayconfig/oracle_test.go
+++ b/jay/jayconfig/oracle_test.go
@@ -21,7 +21,7 @@
 		writer := jaylog.NewWriter("w")
 		var records []jaylog.Record
 		var wants []bool
-		for offset := int64(0); offset < 30; offset++ {
+		for offset := range int64(30) {
 			record, want, change := drawPublish(t, writer, versions)
 			repeat := len(records) > 0 && rapid.IntRange(0, 4).Draw(t, "repeat") == 0
 			if repeat {
--- a/jay/jayconfig/replica_test.go
+++ b/jay/jayconfig/replica_test.go
@@ -197,7 +197,7 @@
 	tests := map[string]struct{ text, want string }{
 		"unknown class":  {"[thing x]\na = b\n", `f.ini:1: [thing x]: "thing" is not one of upstream, service, route, caller`},
 		"no name":        {"[route]\nmodel = m\n", "f.ini:1: [route]: section is not named [class name]"},
-		"unknown key":    {"[route r]\nmodel = m\nmodle = n\n", "f.ini:3: [route r] modle: unknown key"},
+		"unknown key":    {"[route r]\nmodel = m\nmade = n\n", "f.ini:3: [route r] made: unknown key"},
 		"missing key":    {"[route r]\nrank = 1\n", "f.ini:1: [route r] model: key is missing"},
 		"twice":          {"[route r]\nmodel = m\nmodel = n\n", "f.ini:2: [route r] model: key appears twice"},
 		"bad selector":   {"[route r]\nmodel = m\nupstreams = a in (\n", "f.ini:3: [route r] upstreams: "},
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -1,5 +1,4 @@
 // Package jaymesh keeps an instance in touch with the others: it exchanges
-
 // digests, passes on calls and snapshots, and ranks entry addresses.
 package jaymesh
 
--- a/jay/jayonce/home_test.go
+++ b/jay/jayonce/home_test.go
@@ -162,6 +162,7 @@
 		if string(outcome.Body) != call.Key.Key {
 			c.t.Errorf("answer of %q given for %q", outcome.Body, call.Key.Key)
 		}
+	case jayonce.RunUnknown:
 	}
 }
 
--- a/jay/jaypeer/peer_test.go
+++ b/jay/jaypeer/peer_test.go
@@ -20,29 +20,29 @@
 type echo struct{}
 
 func (echo) HandlePeer(ctx context.Context, topic jaypeer.Topic, body []byte) ([]byte, error) {
-	switch topic {
-	case "mute":
+	if topic == "mute" {
 		<-ctx.Done()
 		return nil, ctx.Err()
-	case "refuse":
+	}
+	if topic == "refuse" {
 		return nil, fmt.Errorf("no")
 	}
 	return body, nil
 }
 
-func startServer(t *testing.T, key string) (*jaypeer.Server, string) {
+func startServer(t *testing.T) (*jaypeer.Server, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := jaypeer.NewServer(listener, []byte(key), echo{}, slog.New(slog.DiscardHandler))
+	server := jaypeer.NewServer(listener, []byte("key"), echo{}, slog.New(slog.DiscardHandler))
 	t.Cleanup(server.Stop)
 	return server, listener.Addr().String()
 }
 
 func TestAsk(t *testing.T) {
-	_, address := startServer(t, "key")
+	_, address := startServer(t)
 	tests := map[string]struct {
 		key   string
 		topic jaypeer.Topic
@@ -73,7 +73,7 @@
 
 // A connection that has gone silent is replaced: the next request works.
 func TestSilentConnectionIsReplaced(t *testing.T) {
-	_, address := startServer(t, "key")
+	_, address := startServer(t)
 	client := jaypeer.NewClient(address, []byte("key"))
 	defer client.Close()
 	if _, err := client.Ask(context.Background(), "mute", nil, 50*time.Millisecond); !jayerror.Is(err, jaypeer.KindSilent) {
@@ -90,7 +90,7 @@
 
 // Replies reach the requests that they belong to, whatever their order.
 func TestRepliesAreMatched(t *testing.T) {
-	_, address := startServer(t, "key")
+	_, address := startServer(t)
 	client := jaypeer.NewClient(address, []byte("key"))
 	defer client.Close()
 	var wait sync.WaitGroup
@@ -117,7 +117,7 @@
 	}
 	for name, data := range tests {
 		t.Run(name, func(t *testing.T) {
-			server, address := startServer(t, "key")
+			server, address := startServer(t)
 			good := jaypeer.NewClient(address, []byte("key"))
 			defer good.Close()
 			if _, err := good.Ask(context.Background(), "echo", nil, time.Second); err != nil {
--- a/jay/jayqueue/queue.go
+++ b/jay/jayqueue/queue.go
@@ -122,7 +122,7 @@
 
 // Sweep takes out the first items of callers that can no longer be in time.
 func (q *Queue[T]) Sweep(now time.Time) []*Item[T] {
-	var late []*Item[T]
+	late := make([]*Item[T], 0, len(q.bands))
 	for _, b := range q.bands {
 		b.forget(now)
 		late = append(late, b.late(now)...)
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -154,14 +154,13 @@
 // accepts reports whether the upstream may be given the work now under a claim.
 func (t *Table) accepts(u *Upstream, now time.Time, w Work, c claim) bool {
 	slots := float64(u.spec.Slots)
-	allowed := false
-	switch {
-	case c.near:
-		allowed = c.own && u.running < t.part(u) || float64(u.free(now)) >= seenSlots*float64(t.count)
-	default:
-		allowed = float64(u.running) < farPart*slots && float64(u.elsewhere(now)) <= guestLoad*slots
-	}
-	return allowed && t.takes(u, now, w)
+	if !c.near {
+		guest := float64(u.running) < farPart*slots && float64(u.elsewhere(now)) <= guestLoad*slots
+		return guest && t.takes(u, now, w)
+	}
+	own := c.own && u.running < t.part(u)
+	seen := float64(u.free(now)) >= seenSlots*float64(t.count)
+	return (own || seen) && t.takes(u, now, w)
 }
 
 // takes reports whether the upstream may be given the work once it has a slot.
--- a/jay/jaysite/recovery_test.go
+++ b/jay/jaysite/recovery_test.go
@@ -49,10 +49,10 @@
 	}
 }
 
-// kiosk publishes one more caller through an instance and returns the offset.
-func kiosk(t *testing.T, ctx context.Context, site *jaysite.Site, instance int, name string) int64 {
+// kiosk publishes one more caller and returns the offset.
+func kiosk(t *testing.T, ctx context.Context, site *jaysite.Site, name string) int64 {
 	t.Helper()
-	operator := site.Operator(instance)
+	operator := site.Operator(0)
 	defer operator.Close()
 	text := fmt.Sprintf("[caller %s]\nkey = sha256:%s\n", name, strings.Repeat("0", 64))
 	report, err := operator.Publish(ctx, "kiosk.ini", text, true)
@@ -70,7 +70,7 @@
 			t.Parallel()
 			site, ctx := start(t, func(p *jaysite.Plan) { p.Lifetime = 100 * time.Millisecond })
 			stop := traffic(t, ctx, site)
-			offset := kiosk(t, ctx, site, 0, "kiosk")
+			offset := kiosk(t, ctx, site, "kiosk")
 			if err := site.Await(ctx, offset); err != nil {
 				t.Fatal(err)
 			}
@@ -118,7 +118,7 @@
 			})
 			var offset int64
 			for n := range 5 {
-				offset = kiosk(t, ctx, site, 0, fmt.Sprintf("kiosk-%d", n))
+				offset = kiosk(t, ctx, site, fmt.Sprintf("kiosk-%d", n))
 			}
 			if err := site.Await(ctx, offset); err != nil {
 				t.Fatal(err)
@@ -183,7 +183,7 @@
 func TestTwoOperatorsPublishAtOnce(t *testing.T) {
 	t.Parallel()
 	site, ctx := start(t, nil)
-	kiosk(t, ctx, site, 0, "kiosk")
+	kiosk(t, ctx, site, "kiosk")
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	outcomes := make(map[string]int)
@@ -211,7 +211,7 @@
 	t.Parallel()
 	site, ctx := start(t, nil)
 	site.Platform.SetFaults(jaystandin.Faults{LoseReplies: 1})
-	offset := kiosk(t, ctx, site, 0, "kiosk")
+	offset := kiosk(t, ctx, site, "kiosk")
 	operator := site.Operator(0)
 	defer operator.Close()
 	verdicts, err := operator.History(ctx)
--- a/jaybench/internal/jaycommand/runcmd.go
+++ b/jaybench/internal/jaycommand/runcmd.go
@@ -49,8 +49,9 @@
 }
 
 func scenarioNames() []string {
-	var names []string
-	for name := range jayexperiment.Scenarios() {
+	scenarios := jayexperiment.Scenarios()
+	names := make([]string, 0, len(scenarios))
+	for name := range scenarios {
 		names = append(names, name)
 	}
 	slices.Sort(names)
--- a/jaybench/internal/jaycost/engine.go
+++ b/jaybench/internal/jaycost/engine.go
@@ -34,14 +34,15 @@
 		buf = append(buf, ':')
 		buf = strconv.AppendInt(buf, int64(n), 10)
 		buf = append(buf, "\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"},\"finish_reason\":null}]}\n\n"...)
-		if _, err := w.Write(buf); err != nil || control.Flush() != nil {
+		if _, err := w.Write(buf); err != nil || //nolint:gosec // The reader is the bench itself.
+			control.Flush() != nil {
 			return
 		}
 		if !e.wait(r) {
 			return
 		}
 	}
-	_, _ = io.WriteString(w, "id: "+id+":"+strconv.Itoa(e.tokens)+"\ndata: [DONE]\n\n")
+	_, _ = io.WriteString(w, "id: "+id+":"+strconv.Itoa(e.tokens)+"\ndata: [DONE]\n\n") //nolint:gosec // The reader is the bench itself.
 }
 
 // wait pauses between two tokens and reports whether the caller is still there.
--- a/jaybench/internal/jaycost/path.go
+++ b/jaybench/internal/jaycost/path.go
@@ -34,7 +34,6 @@
 	engine string
 	client *http.Client
 	body   []byte
-	number int
 }
 
 // newStage starts an instance before an engine that answers with a number of tokens.
--- a/jaybench/internal/jayexperiment/scenario.go
+++ b/jaybench/internal/jayexperiment/scenario.go
@@ -84,7 +84,7 @@
 
 // crest offers three times the capacity for ten seconds, in swings.
 func crest(ctx context.Context, policy jayroute.Policy, seed uint64) ([]Metric, error) {
-	most, err := capacity(ctx, shortWork, capacityLength, seed)
+	most, err := capacity(ctx, shortWork, seed)
 	if err != nil {
 		return nil, err
 	}
@@ -176,7 +176,7 @@
 
 // block offers short work with and without stragglers.
 func block(ctx context.Context, policy jayroute.Policy, seed uint64) ([]Metric, error) {
-	most, err := capacity(ctx, plainWork, capacityLength, seed)
+	most, err := capacity(ctx, plainWork, seed)
 	if err != nil {
 		return nil, err
 	}
@@ -219,7 +219,7 @@
 
 // slow slows two of twelve engines ten times for moments, with late load reports.
 func slow(ctx context.Context, policy jayroute.Policy, seed uint64) ([]Metric, error) {
-	most, err := capacity(ctx, plainWork, capacityLength, seed)
+	most, err := capacity(ctx, plainWork, seed)
 	if err != nil {
 		return nil, err
 	}
@@ -265,7 +265,7 @@
 
 // region offers most of the work in one region.
 func region(ctx context.Context, policy jayroute.Policy, seed uint64) ([]Metric, error) {
-	most, err := capacity(ctx, plainWork, capacityLength, seed)
+	most, err := capacity(ctx, plainWork, seed)
 	if err != nil {
 		return nil, err
 	}
--- a/jaybench/internal/jayexperiment/trial.go
+++ b/jaybench/internal/jayexperiment/trial.go
@@ -161,7 +161,7 @@
 
 // capacity measures how many requests of a kind all engines complete a second
 // when their slots are always full, without any instance before them.
-func capacity(ctx context.Context, work Work, d time.Duration, seed uint64) (float64, error) {
+func capacity(ctx context.Context, work Work, seed uint64) (float64, error) {
 	plan := jaysite.DefaultPlan()
 	plan.Instances, plan.Engines, plan.Services, plan.Rates = 0, engines, 0, rates()
 	site, err := jaysite.Start(plan, slog.New(slog.DiscardHandler))
@@ -169,10 +169,10 @@
 		return 0, err
 	}
 	defer site.Stop()
-	ctx, cancel := context.WithTimeout(ctx, capacityWarm+d)
+	ctx, cancel := context.WithTimeout(ctx, capacityWarm+capacityLength)
 	defer cancel()
 	warm := time.Now().Add(capacityWarm)
-	arrivals := draw(seed, []Phase{{Length: time.Minute, Rate: steady(200), Work: work}}, regionNames(), []string{"c"}, d)
+	arrivals := draw(seed, []Phase{{Length: time.Minute, Rate: steady(200), Work: work}}, regionNames(), []string{"c"}, capacityLength)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	defer client.CloseIdleConnections()
 	var done, next atomic.Int64
@@ -190,7 +190,7 @@
 		}
 	}
 	wait.Wait()
-	return float64(done.Load()) / d.Seconds(), nil
+	return float64(done.Load()) / capacityLength.Seconds(), nil
 }
 
 func askEngine(ctx context.Context, client *http.Client, address string, a Arrival, number int) bool {
--- a/jaybench/internal/jayscale/scale.go
+++ b/jaybench/internal/jayscale/scale.go
@@ -101,7 +101,7 @@
 	runtime.ReadMemStats(&before)
 	started := time.Now()
 	for n := range rounds {
-		work := jayroute.Work{Prompt: 400, Output: 64, Prefix: uint64(n)} //nolint:gosec // It is positive.
+		work := jayroute.Work{Prompt: 400, Output: 64, Prefix: uint64(n)}
 		if u, ok := table.Pick(now, pool, work); ok {
 			table.Start(u, work)
 			table.First(u, work, 0, time.Millisecond)
