--- /dev/null
+++ b/jay/jayroute/table_test.go
@@ -0,0 +1,153 @@
+package jayroute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jayengine"
+	"jayfield.example/jay/jaylog"
+	"jayfield.example/jay/jayroute"
+	"jayfield.example/jay/jayseed"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(jayseed.Main(m))
+}
+
+// configOf returns the configuration of a number of engines in two regions.
+func configOf(t interface{ Fatal(args ...any) }, engines, slots int) *jayconfig.State {
+	var b strings.Builder
+	for n := range engines {
+		fmt.Fprintf(&b, "[upstream e%d]\naddress = http://127.0.0.1:%d\nregion = r%d\nzone = z\nmodel = m\nslots = %d\n", n, 9000+n, n%2, slots)
+	}
+	publish, err := jayconfig.ParsePublish("test", b.String()+"[route r]\nmodel = m\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := publish.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := jayconfig.NewState().Apply(jaylog.Entry{Record: jaylog.NewWriter("w").Record(jayconfig.RecordPublish, body)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return state
+}
+
+// grant is work that a test has assigned.
+type grant struct {
+	upstream *jayroute.Upstream
+	work     jayroute.Work
+}
+
+// No pick takes an upstream that leaves, is avoided, or is under an order.
+func TestPickKeepsTheRules(t *testing.T) {
+	picks := 0
+	rapid.Check(t, func(t *rapid.T) {
+		const engines = 6
+		now := time.Unix(0, 0)
+		table := jayroute.NewTable("r0", jayroute.PolicyPredict, rand.New(rand.NewPCG(1, 1)))
+		table.Configure(configOf(t, engines, 4))
+		pool, _ := table.Pool("route r")
+		leaving, ordered := make(map[string]bool), make(map[string]bool)
+		var grants []grant
+		name := func(t *rapid.T) string { return fmt.Sprintf("e%d", rapid.IntRange(0, engines-1).Draw(t, "engine")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				work := jayroute.Work{
+					Prompt: rapid.IntRange(1, 5000).Draw(t, "prompt"), Output: rapid.IntRange(1, 500).Draw(t, "output"),
+					Prefix: rapid.Uint64().Draw(t, "prefix"), Long: rapid.Bool().Draw(t, "long"), Urgent: rapid.Bool().Draw(t, "urgent"),
+				}
+				if rapid.Bool().Draw(t, "avoid") {
+					work.Avoid, _ = table.Upstream(name(t))
+				}
+				u, ok := table.Pick(now, pool, work)
+				if !ok {
+					return
+				}
+				picks++
+				if leaving[u.Name()] || ordered[u.Name()] || u == work.Avoid || u.Leaving() {
+					t.Fatalf("picked %s: leaving %t, ordered %t, avoided %t", u.Name(), leaving[u.Name()], ordered[u.Name()], u == work.Avoid)
+				}
+				table.First(u, work, table.Start(u, work), time.Millisecond)
+				grants = append(grants, grant{u, work})
+			},
+			"finish": func(t *rapid.T) {
+				if len(grants) > 0 {
+					n := rapid.IntRange(0, len(grants)-1).Draw(t, "grant")
+					table.Finish(grants[n].upstream, grants[n].work)
+					grants = append(grants[:n], grants[n+1:]...)
+				}
+			},
+			"leave": func(t *rapid.T) { n := name(t); leaving[n] = !leaving[n]; table.List(leaving) },
+			"order": func(t *rapid.T) { n := name(t); ordered[n] = !ordered[n]; table.Ordered(ordered) },
+			"report": func(t *rapid.T) {
+				table.Report(now, name(t), jayengine.Load{Age: 500, Running: rapid.IntRange(0, 9).Draw(t, "running"), Pieces: 50})
+			},
+			"fail": func(t *rapid.T) {
+				if u, ok := table.Upstream(name(t)); ok {
+					table.Fail(now, u)
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				table.Sweep(now)
+			},
+			"": func(t *rapid.T) {
+				running := 0
+				for _, u := range table.Upstreams() {
+					running += u.Running()
+				}
+				if running != len(grants) {
+					t.Fatalf("running = %d, grants = %d", running, len(grants))
+				}
+			},
+		})
+	})
+	if picks == 0 {
+		t.Error("no run picked an upstream")
+	}
+}
+
+// Instances that know nothing of each other's work never give near engines more than their slots.
+func TestOwnPartsAddUp(t *testing.T) {
+	for count := 1; count <= 9; count++ {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			config := configOf(t, 8, 8)
+			given := make(map[string]int)
+			for rank := range count {
+				table := jayroute.NewTable("r0", jayroute.PolicyPredict, rand.New(rand.NewPCG(uint64(rank), 1)))
+				table.Configure(config)
+				table.Share(rank, count)
+				full := make(map[string]int)
+				for n := range 8 {
+					full[fmt.Sprintf("e%d", n)] = 8
+				}
+				table.Others(full)
+				pool, _ := table.Pool("route r")
+				work := jayroute.Work{Prompt: 1, Output: 1}
+				for {
+					u, ok := table.Pick(time.Unix(0, 0), pool, work)
+					if !ok {
+						break
+					}
+					table.Start(u, work)
+					given[u.Name()]++
+				}
+			}
+			for _, name := range []string{"e0", "e2", "e4", "e6"} {
+				if given[name] != 8 {
+					t.Errorf("%s was given %d requests for 8 slots", name, given[name])
+				}
+			}
+		})
+	}
+}
