--- a/jay/jaylimit/limiter.go
+++ b/jay/jaylimit/limiter.go
@@ -38,16 +38,17 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	own := float64(perSecond) * l.share
+	burst := max(1, int(own*burstPeriod.Seconds()))
 	b, ok := l.callers[caller]
 	if !ok {
-		b = &bucket{limiter: rate.NewLimiter(0, 0)}
+		b = &bucket{limiter: rate.NewLimiter(rate.Limit(own), burst), rate: perSecond, share: l.share}
 		l.callers[caller] = b
 	}
 	if b.rate != perSecond || b.share != l.share {
 		b.rate, b.share = perSecond, l.share
-		own := float64(perSecond) * l.share
 		b.limiter.SetLimitAt(now, rate.Limit(own))
-		b.limiter.SetBurstAt(now, max(1, int(own*burstPeriod.Seconds())))
+		b.limiter.SetBurstAt(now, burst)
 	}
 	reservation := b.limiter.ReserveN(now, 1)
 	delay := reservation.DelayFrom(now)
