Guard the list of instances in the once test

Change: the test takes the list under its lock; no check is changed. Measured: all packages pass with and without the race detector.

--- a/jay/jayonce/home_test.go
+++ b/jay/jayonce/home_test.go
@@ -116,7 +116,7 @@
 	w := &worker{source: rand.New(rand.NewPCG(c.source.Uint64(), 0)), service: c.service}
 	issuer := jayonce.NewIssuer(fmt.Sprintf("i-%d", c.names), time.Now(), ticketLife)
 	home := jayonce.NewHome(issuer, w, func(r jayonce.Recorded) {
-		for _, other := range c.instances {
+		for _, other := range c.all() {
 			other.home.Learn(r)
 		}
 	}, func(rule string) { c.t.Error("invariant broken:", rule) })
@@ -131,7 +131,17 @@
 	old.worker.dead = true
 	old.worker.mu.Unlock()
 	old.home.Stop()
-	c.instances[n] = c.start()
+	next := c.start()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instances[n] = next
+}
+
+// all returns the instances of now.
+func (c *cluster) all() []*instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*instance(nil), c.instances...)
 }
 
 // attempt asks for a key at any instance, as the callers' side does, over a network with delays.
@@ -186,7 +196,7 @@
 			c.deadline[key] = end
 		}
 		c.mu.Unlock()
-		at, all := c.instances[c.source.IntN(3)], append([]*instance(nil), c.instances...)
+		at, all := c.instances[c.source.IntN(3)], c.all()
 		wait.Go(func() { c.attempt(at, all, call, delay) })
 		time.Sleep(time.Duration(c.source.IntN(120)) * time.Millisecond)
 	}
