Give test daemons ports that nobody else takes, log errors in one line

And an error in the daemon's log carried its stack. Change: ports below the system's own range; errors are logged by their text; one jaylog.Follow instead of two loops; one flagSet in the bench.

--- a/jay/jaycontrol/controller.go
+++ b/jay/jaycontrol/controller.go
@@ -11,7 +11,6 @@
 
 	"jayfield.example/jay/jayconfig"
 	"jayfield.example/jay/jayengine"
-	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaylease"
 	"jayfield.example/jay/jaylog"
 	"jayfield.example/jay/jaymember"
@@ -25,8 +24,6 @@
 	tickPeriod = 250 * time.Millisecond
 	// readWait is how long a read waits at the end of a stream.
 	readWait = 2 * time.Second
-	// retryDelay is the pause after a read that failed.
-	retryDelay = 250 * time.Millisecond
 	// sendRoom is the authority that must be left when an order is sent: it
 	// covers the longest time that sending may take.
 	sendRoom = 1500 * time.Millisecond
@@ -147,24 +144,9 @@
 	c.owner.Stop()
 }
 
-// reader takes in a batch of a stream and returns the offset to read next.
-type reader func(batch jaylog.Batch, expired bool) int64
-
 // follow reads a stream until the controller stops.
-func (c *Controller) follow(ctx context.Context, stream jaylog.Stream, read reader) {
-	next := int64(0)
-	for ctx.Err() == nil {
-		batch, err := c.Log.Read(ctx, stream, next, readWait)
-		expired := jayerror.Is(err, jaylog.KindExpired)
-		if err != nil && !expired {
-			select {
-			case <-time.After(retryDelay):
-			case <-ctx.Done():
-			}
-			continue
-		}
-		next = read(batch, expired)
-	}
+func (c *Controller) follow(ctx context.Context, stream jaylog.Stream, read func(jaylog.Batch, bool) int64) {
+	jaylog.Follow(ctx, c.Log, stream, readWait, jaylog.Handler{Read: read})
 }
 
 func (c *Controller) readLease(batch jaylog.Batch, expired bool) (next int64) {
--- a/jay/jayonce/journal.go
+++ b/jay/jayonce/journal.go
@@ -27,8 +27,6 @@
 	keptBody = 4 << 10
 	// readWait is how long a read waits at the end of the stream.
 	readWait = 5 * time.Second
-	// retryDelay is the pause after a read that failed.
-	retryDelay = 250 * time.Millisecond
 	// appendTimeout bounds an append.
 	appendTimeout = 5 * time.Second
 	// winnerPoll is how often the winner of a key is looked for.
@@ -177,20 +175,14 @@
 // read are not known here; their keys are answered as unknown.
 func (j *Journal) follow(ctx context.Context) {
 	next := int64(0)
-	for ctx.Err() == nil {
-		batch, err := j.Log.Read(ctx, jaylog.StreamOnce, next, readWait)
-		switch {
-		case jayerror.Is(err, jaylog.KindExpired):
+	read := func(batch jaylog.Batch, expired bool) int64 {
+		if expired {
 			next = batch.Oldest
-		case err != nil:
-			j.Home.Behind()
-			select {
-			case <-time.After(retryDelay):
-			case <-ctx.Done():
-			}
-		default:
-			j.Home.Read(batch)
-			next += int64(len(batch.Entries))
+			return next
 		}
+		j.Home.Read(batch)
+		next += int64(len(batch.Entries))
+		return next
 	}
+	jaylog.Follow(ctx, j.Log, jaylog.StreamOnce, readWait, jaylog.Handler{Read: read, Failed: j.Home.Behind})
 }
--- a/jaybench/internal/jaycommand/costcmd.go
+++ b/jaybench/internal/jaycommand/costcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"runtime/pprof"
@@ -27,8 +26,7 @@
 // cost returns the command that measures what the path costs.
 func (c *config) cost() *ffcli.Command {
 	var f costFlags
-	flags := flag.NewFlagSet("jaybench cost", flag.ContinueOnError)
-	flags.SetOutput(c.stderr)
+	flags := c.flagSet("cost")
 	flags.DurationVar(&f.duration, "duration", 5*time.Second, "`time` of each rate")
 	flags.IntVar(&f.requests, "requests", 3000, "`requests` for processor time and allocations")
 	flags.IntVar(&f.streams, "streams", 5000, "open `streams` for memory")
--- a/jaybench/internal/jaycommand/democmd.go
+++ b/jaybench/internal/jaycommand/democmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"time"
 
@@ -19,8 +18,7 @@
 
 // demo returns the command that shows the whole path in one process.
 func (c *config) demo() *ffcli.Command {
-	flags := flag.NewFlagSet("jaybench demo", flag.ContinueOnError)
-	flags.SetOutput(c.stderr)
+	flags := c.flagSet("demo")
 	return &ffcli.Command{
 		Name:       "demo",
 		ShortUsage: "jaybench demo",
--- a/jaybench/internal/jaycommand/main.go
+++ b/jaybench/internal/jaycommand/main.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// flagSet returns the flags of a command.
+func (c *config) flagSet(name string) *flag.FlagSet {
+	flags := flag.NewFlagSet("jaybench "+name, flag.ContinueOnError)
+	flags.SetOutput(c.stderr)
+	return flags
+}
+
 // log returns the log of the instances.
 func (c *config) log() *slog.Logger {
 	if c.verbose {
--- a/jaybench/internal/jaycommand/plotcmd.go
+++ b/jaybench/internal/jaycommand/plotcmd.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -15,8 +14,7 @@
 // plot returns the command that draws the results of an experiment.
 func (c *config) plot() *ffcli.Command {
 	var metric, out string
-	flags := flag.NewFlagSet("jaybench plot", flag.ContinueOnError)
-	flags.SetOutput(c.stderr)
+	flags := c.flagSet("plot")
 	flags.StringVar(&metric, "metric", "", "`figure` to draw, by its name")
 	flags.StringVar(&out, "out", "plot.png", "`file` to write")
 	return &ffcli.Command{
--- a/jaybench/internal/jaycommand/publishcmd.go
+++ b/jaybench/internal/jaycommand/publishcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"time"
 
@@ -21,8 +20,7 @@
 // publish returns the command that measures how fast configuration and authority spread.
 func (c *config) publish() *ffcli.Command {
 	var f publishFlags
-	flags := flag.NewFlagSet("jaybench publish", flag.ContinueOnError)
-	flags.SetOutput(c.stderr)
+	flags := c.flagSet("publish")
 	flags.IntVar(&f.instances, "instances", 8, "`instances` of the site")
 	flags.IntVar(&f.publishes, "publishes", 100, "`publishes` of each case")
 	flags.IntVar(&f.kills, "kills", 3, "`kills` of a lease's holder")
--- a/jaybench/internal/jaycommand/runcmd.go
+++ b/jaybench/internal/jaycommand/runcmd.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -27,8 +26,7 @@
 // run returns the command that runs an experiment.
 func (c *config) run() *ffcli.Command {
 	var f runFlags
-	flags := flag.NewFlagSet("jaybench run", flag.ContinueOnError)
-	flags.SetOutput(c.stderr)
+	flags := c.flagSet("run")
 	flags.Uint64Var(&f.seed, "seed", 1, "first `seed` of the arrivals")
 	flags.Uint64Var(&f.seeds, "seeds", 1, "`number` of seeds")
 	flags.StringVar(&f.policy, "policy", string(jayroute.PolicyPredict), "`policy` to measure")
--- a/jaybench/internal/jaycommand/scalecmd.go
+++ b/jaybench/internal/jaycommand/scalecmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"strings"
 
@@ -15,8 +14,7 @@
 
 // scale returns the command that measures how costs grow with the fleet.
 func (c *config) scale() *ffcli.Command {
-	flags := flag.NewFlagSet("jaybench scale", flag.ContinueOnError)
-	flags.SetOutput(c.stderr)
+	flags := c.flagSet("scale")
 	return &ffcli.Command{
 		Name:       "scale",
 		ShortUsage: "jaybench scale",
--- a/jaybench/internal/jaycommand/standincmd.go
+++ b/jaybench/internal/jaycommand/standincmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net"
 	"net/http"
@@ -27,8 +26,7 @@
 // standin returns the command that serves stand-ins as a process of their own.
 func (c *config) standin() *ffcli.Command {
 	var f standinFlags
-	flags := flag.NewFlagSet("jaybench standin", flag.ContinueOnError)
-	flags.SetOutput(c.stderr)
+	flags := c.flagSet("standin")
 	flags.StringVar(&f.platform, "platform", "", "`address` to serve the log and the instance list at")
 	flags.StringVar(&f.engines, "engines", "", "`addresses` to serve engines at, separated by commas")
 	flags.StringVar(&f.services, "services", "", "`addresses` to serve plain services at, separated by commas")
--- a/jayfieldd/internal/jaydaemon/main.go
+++ b/jayfieldd/internal/jaydaemon/main.go
@@ -39,7 +39,7 @@
 		_, _ = fmt.Fprintln(stdout, "settings are valid")
 		return statusOK
 	}
-	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: settings.Level}))
+	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: settings.Level, ReplaceAttr: plainError}))
 	if arguments.Embedded {
 		platform, err := startPlatform(log)
 		if err != nil {
@@ -57,6 +57,14 @@
 	return statusOK
 }
 
+// plainError logs an error's text without the stack that it may carry.
+func plainError(_ []string, attr slog.Attr) slog.Attr {
+	if err, ok := attr.Value.Any().(error); ok {
+		attr.Value = slog.StringValue(err.Error())
+	}
+	return attr
+}
+
 // run serves until a signal asks the process to stop.
 func run(settings jaysetting.Settings, log *slog.Logger) error {
 	signals := make(chan os.Signal, 1)
--- a/jayfieldd/internal/jaydaemon/main_test.go
+++ b/jayfieldd/internal/jaydaemon/main_test.go
@@ -1,8 +1,10 @@
 package jaydaemon_test
 
 import (
+	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,14 +24,7 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			for _, name := range []string{"CALLER", "OPERATOR", "PEER"} {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					return err
-				}
-				env.Setenv(name, listener.Addr().String())
-				if err := listener.Close(); err != nil {
-					return err
-				}
+				env.Setenv(name, freeAddress())
 			}
 			return nil
 		},
@@ -37,6 +32,28 @@
 	})
 }
 
+// Ports are below those that the system gives to connections and to other
+// tests, which might take a free one in between.
+const (
+	firstPort = 20_000
+	portCount = 9_000
+)
+
+// lastPort counts the ports given out.
+var lastPort atomic.Int64
+
+// freeAddress returns an address that nothing listens at.
+func freeAddress() string {
+	for {
+		port := firstPort + (int64(os.Getpid())*13+lastPort.Add(1))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
+}
+
 // await waits until an address accepts connections.
 func await(ts *testscript.TestScript, _ bool, args []string) {
 	for range 2000 {
