--- a/jay/jaycontrol/controller.go
+++ b/jay/jaycontrol/controller.go
@@ -108,7 +108,7 @@
 			Cell: options.Cell, Incarnation: options.Incarnation, TTL: options.TTL, Margin: options.Margin,
 			Writer: options.Writer, Breach: options.Metrics.Breach,
 		}),
-		ledger: jayorder.NewLedger(0, options.Metrics.Breach),
+		ledger: jayorder.NewLedger(0),
 		tasks:  make(map[string]*jayorder.Task),
 		gone:   make(map[string]time.Time),
 	}
--- a/jay/jayini/document.go
+++ b/jay/jayini/document.go
@@ -59,16 +59,6 @@
 	return false
 }
 
-// Section returns the section of a name and whether there is one.
-func (d *Document) Section(name string) (Section, bool) {
-	for _, s := range d.Sections {
-		if s.Name == name {
-			return s, true
-		}
-	}
-	return Section{File: d.File, Name: name}, false
-}
-
 // position is the place of a section or key within the text.
 type position struct {
 	section, key string
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -52,7 +52,6 @@
 	front      *jaycall.Front
 	journal    *jayonce.Journal
 	control    *jaycontrol.Controller
-	planner    jaycontrol.Planner
 	rates      *jaylimit.Limiter
 	collector  *jaystate.Collector
 	writer     *jaylog.Writer
@@ -86,11 +85,6 @@
 	return func(i *Instance) { i.dial = dial }
 }
 
-// WithPlanner sets what decides on the roles of the cell's engines.
-func WithPlanner(planner jaycontrol.Planner) Option {
-	return func(i *Instance) { i.planner = planner }
-}
-
 // WithPolicy sets the way to choose among upstreams.
 func WithPolicy(policy jayroute.Policy) Option {
 	return func(i *Instance) { i.policy = policy }
@@ -103,7 +97,6 @@
 		incarnation: jaylog.NewIncarnation(),
 		log:         log.With("instance", settings.Name),
 		policy:      jayroute.PolicyPredict,
-		planner:     jaycontrol.Fixed{},
 		group:       jaytask.NewGroup(),
 	}
 	i.metrics = jaymetric.NewSet(i.log)
@@ -148,11 +141,6 @@
 	return i.follower.Next()
 }
 
-// Incarnation returns the identity of this run of the instance.
-func (i *Instance) Incarnation() string {
-	return i.incarnation
-}
-
 // build makes the parts; none of them listens yet.
 func (i *Instance) build() {
 	s := i.settings
@@ -245,7 +233,7 @@
 	i.control = jaycontrol.New(jaycontrol.Options{
 		Cell: i.settings.Zone, Incarnation: i.incarnation, TTL: i.settings.Lease, Margin: i.settings.Margin,
 		Log: i.platform, Writer: i.writer, Engines: i.engines, Configs: i.follower, Members: i.mesh,
-		Planner: i.planner, Ordered: i.dispatcher, Metrics: i.metrics, Logger: i.log,
+		Planner: jaycontrol.Fixed{}, Ordered: i.dispatcher, Metrics: i.metrics, Logger: i.log,
 	})
 	admin := jayadmin.NewServer(jayadmin.Options{
 		Key:       i.settings.OperatorKey,
--- a/jay/jaylease/view.go
+++ b/jay/jaylease/view.go
@@ -67,11 +67,6 @@
 	return v.holder
 }
 
-// Next returns the offset to read next.
-func (v *View) Next() int64 {
-	return v.next
-}
-
 // Released reports whether an incarnation gave the lease up by a record.
 func (v *View) Released(incarnation string) bool {
 	return v.released == incarnation
--- a/jay/jaylog/client.go
+++ b/jay/jaylog/client.go
@@ -56,11 +56,6 @@
 	return func(c *Client) { c.budget = rate.NewLimiter(rate.Limit(perSecond), burst) }
 }
 
-// WithTimeout sets the bound of one attempt of an append.
-func WithTimeout(timeout time.Duration) Option {
-	return func(c *Client) { c.timeout = timeout }
-}
-
 // Append adds a record and returns its offset. It repeats the record under
 // the same ID until a reply comes or ctx ends; KindUnavailable then means
 // that the record may or may not have taken effect.
--- a/jay/jaymesh/exchange.go
+++ b/jay/jaymesh/exchange.go
@@ -18,14 +18,10 @@
 
 // tick states this instance's condition and exchanges digests.
 func (m *Mesh) tick(ctx context.Context) {
-	running, err := m.Loads.Running(ctx)
+	own, err := m.ownWork(ctx)
 	if err != nil {
 		return
 	}
-	own := make([]Running, 0, len(running))
-	for name, count := range running {
-		own = append(own, Running{Upstream: name, Count: count})
-	}
 	working, next := m.Working(), m.configs.Next()
 	var rounds []round
 	_ = m.owner.Ask(ctx, func(s *state) {
@@ -40,6 +36,19 @@
 	}
 }
 
+// ownWork returns this instance's work at each upstream.
+func (m *Mesh) ownWork(ctx context.Context) ([]Running, error) {
+	running, err := m.Loads.Running(ctx)
+	if err != nil {
+		return nil, err
+	}
+	own := make([]Running, 0, len(running))
+	for name, count := range running {
+		own = append(own, Running{Upstream: name, Count: count})
+	}
+	return own, nil
+}
+
 // plan advances the view and returns the exchanges of this tick.
 func (m *Mesh) plan(s *state, own []Running) []round {
 	now := time.Now()
--- a/jay/jaymesh/handle.go
+++ b/jay/jaymesh/handle.go
@@ -40,16 +40,12 @@
 	if err != nil {
 		return nil, err
 	}
-	running, err := m.Loads.Running(ctx)
+	own, err := m.ownWork(ctx)
 	if err != nil {
 		return nil, err
 	}
 	var reply Digest
 	err = m.owner.Ask(ctx, func(s *state) {
-		own := make([]Running, 0, len(running))
-		for name, count := range running {
-			own = append(own, Running{Upstream: name, Count: count})
-		}
 		reply = s.digest(time.Now(), own, from.Zone == m.Self.Zone)
 	})
 	if err != nil {
--- a/jay/jayorder/record.go
+++ b/jay/jayorder/record.go
@@ -79,12 +79,11 @@
 type Ledger struct {
 	next        int64
 	outstanding map[string]Record
-	breach      func(rule string)
 }
 
 // NewLedger returns the ledger of a reader that begins at an offset.
-func NewLedger(start int64, breach func(rule string)) *Ledger {
-	return &Ledger{next: start, outstanding: make(map[string]Record), breach: breach}
+func NewLedger(start int64) *Ledger {
+	return &Ledger{next: start, outstanding: make(map[string]Record)}
 }
 
 // Apply takes in the next entry. An order for an engine with an order that is not settled has no effect.
--- a/jay/jayorder/task_test.go
+++ b/jay/jayorder/task_test.go
@@ -57,7 +57,7 @@
 func newWorld(checks bool) *world {
 	w := &world{
 		now: time.Unix(0, 0), engine: &engine{checks: checks, status: jayengine.Status{Boot: "b-0", Role: "mixed"}},
-		ledger: jayorder.NewLedger(0, nil), gone: make(map[string]time.Time),
+		ledger: jayorder.NewLedger(0), gone: make(map[string]time.Time),
 	}
 	w.succeed()
 	return w
--- a/jay/jaystandin/engine.go
+++ b/jay/jaystandin/engine.go
@@ -65,7 +65,6 @@
 	batch     batch
 	sequences map[string]*sequence
 	prefixes  map[uint64]time.Time
-	kept      map[string]bool
 	faults    EngineFaults
 	status    jayengine.Status
 	orders    []jayengine.Order
@@ -92,7 +91,6 @@
 		group:     jaytask.NewGroup(),
 		sequences: make(map[string]*sequence),
 		prefixes:  make(map[uint64]time.Time),
-		kept:      make(map[string]bool),
 		status:    jayengine.Status{Boot: uuid.NewString(), Role: "mixed", Model: model},
 	}
 	e.batch = batch{rates: rates, last: time.Now()}
@@ -108,11 +106,6 @@
 	return func(e *Engine) { e.checks = true }
 }
 
-// WithRole sets the role that the engine starts with.
-func WithRole(role string) EngineOption {
-	return func(e *Engine) { e.setRole(role) }
-}
-
 // Busy reports whether an order is being carried out.
 func (e *Engine) Busy() bool {
 	e.mu.Lock()
--- a/jay/jaystandin/platform.go
+++ b/jay/jaystandin/platform.go
@@ -89,15 +89,6 @@
 	p.faults = faults
 }
 
-// SetState changes the state of a listed instance.
-func (p *Platform) SetState(name string, state jaylist.State) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	instance := p.list[name]
-	instance.State = state
-	p.list[name] = instance
-}
-
 // Unlist takes an instance off the list.
 func (p *Platform) Unlist(name string) {
 	p.mu.Lock()
