Repeat urgent news after an exchange that was under way

News that an instance has a configuration, or leaves, was not sent to a contact whose exchange was just under way, and then waited up to 2 s. Change: such a contact gets it right after that exchange.

--- a/jay/jaymesh/exchange.go
+++ b/jay/jaymesh/exchange.go
@@ -56,18 +56,20 @@
 	s.members = s.view.Members()
 	s.forget(now)
 	m.shareOut(s)
-	far := s.ticks%farEvery == 0 || s.ticks < 0
+	far := s.ticks%farEvery == 0 || s.urgent
 	s.ticks++
 	var rounds []round
 	for _, contact := range m.targets(s, far) {
 		c := m.client(s, contact.Peer)
 		if c.busy {
+			c.again = c.again || s.urgent
 			continue
 		}
 		c.busy = true
 		near := contact.Zone == m.Self.Zone
 		rounds = append(rounds, round{client: c, digest: s.digest(now, own, near)})
 	}
+	s.urgent = false
 	return rounds
 }
 
@@ -101,7 +103,13 @@
 // exchange sends a digest and takes in the reply.
 func (m *Mesh) exchange(ctx context.Context, r round) {
 	defer func() {
-		_ = m.owner.Tell(context.Background(), func(*state) { r.client.busy = false })
+		again := false
+		_ = m.owner.Ask(context.Background(), func(*state) {
+			again, r.client.busy, r.client.again = r.client.again, false, false
+		})
+		if again {
+			m.group.Go(m.Announce)
+		}
 	}()
 	body, err := msgpack.Marshal(&r.digest)
 	if err != nil {
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -79,7 +79,7 @@
 
 // Announce tells all contacts at once of a change of this instance's condition.
 func (m *Mesh) Announce(ctx context.Context) {
-	_ = m.owner.Ask(ctx, func(s *state) { s.ticks = -1 })
+	_ = m.owner.Ask(ctx, func(s *state) { s.urgent = true })
 	m.tick(ctx)
 }
 
--- a/jay/jaymesh/state.go
+++ b/jay/jaymesh/state.go
@@ -16,6 +16,8 @@
 	running map[string]counted
 	loads   map[string]heardLoad
 	ticks   int
+	// urgent has the next exchanges go to all contacts at once.
+	urgent  bool
 	members []jaymember.Status
 }
 
@@ -23,6 +25,8 @@
 type client struct {
 	*jaypeer.Client
 	busy bool
+	// again is set when there was more to tell while an exchange was under way.
+	again bool
 }
 
 // counted is the work that one member said it runs.
