Give a hedge the offset of its start, expire only before the checkpoint

The goroutine that opens a hedge read the answer's offset when it ran; the first stream could win meanwhile and move the offset. The loser is dropped, so no caller got a wrong answer by it. Eleven tests were red because the race counter is one for the whole program. Ruled out: the stand-ins (all state under their mutex) and the start of an instance (parts are built before they listen). Change: the offset is taken once, before the first stream opens. The stand-in engine's field prefillOnly was written without its mutex and read by nobody; it is gone.

Second fault, of a test: TestAllInstancesReplacedAtOnce expired the log up to the last publish even where the checkpoint stood before it, and so dropped the checkpoint too, which no log does that keeps to the retention. It now expires all that stands before the newest checkpoint, and still asks that the last publish is in force.

--- a/jay/jaycall/open.go
+++ b/jay/jaycall/open.go
@@ -63,8 +63,9 @@
 // other is cancelled.
 func (f *Front) race(ctx context.Context, c *completion, state *relayState, first *progress) *opened {
 	results := make(chan *opened, 2)
+	offset := state.next
 	start := func(p *progress) {
-		go func() { results <- f.open(ctx, c, state.next, p) }()
+		go func() { results <- f.open(ctx, c, offset, p) }()
 	}
 	start(first)
 	pending := 1
--- a/jay/jaysite/fault_test.go
+++ b/jay/jaysite/fault_test.go
@@ -240,3 +240,23 @@
 		})
 	}
 }
+
+// The first stream goes on while a hedge for it begins: the two share nothing that changes.
+func TestHedgedStreamIsWhole(t *testing.T) {
+	t.Parallel()
+	site, ctx := start(t, func(p *jaysite.Plan) {
+		p.Instances, p.Engines = 1, 2
+		p.Rates.Prefill = 100
+	})
+	caller := site.Caller(account("shop-12"), "amman")
+	for n := range 8 {
+		prompt := fmt.Sprintf("what is the stock of planner inserts of the shop number %d", n)
+		got, err := caller.Stream(ctx, chat(prompt, 10), nil)
+		if err != nil || got.Text != jaystandin.Answer(prompt, 10) {
+			t.Fatalf("answer is not whole: %q, error = %v", got.Text, err)
+		}
+	}
+	if site.Instances[0].Metrics().Value(jaymetric.Hedges) == 0 {
+		t.Error("no stream was hedged")
+	}
+}
--- a/jay/jaysite/recovery_test.go
+++ b/jay/jaysite/recovery_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"jayfield.example/jay/jayconfig"
 	"jayfield.example/jay/jaylog"
 	"jayfield.example/jay/jaysetting"
 	"jayfield.example/jay/jaysite"
@@ -123,14 +125,15 @@
 			if err := site.Await(ctx, offset); err != nil {
 				t.Fatal(err)
 			}
+			expired := offset + 1
 			if test.checkpoint {
-				awaitCheckpoint(t, ctx, site)
+				expired = awaitCheckpoint(t, ctx, site)
 			}
 			for _, instance := range site.Instances {
 				instance.Kill()
 			}
 			if test.expire {
-				site.Platform.Expire(jaylog.StreamConfig, offset+1)
+				site.Platform.Expire(jaylog.StreamConfig, expired)
 			}
 			added, err := site.AddInstance()
 			if err != nil {
@@ -167,17 +170,26 @@
 	}
 }
 
-func awaitCheckpoint(t *testing.T, ctx context.Context, site *jaysite.Site) {
+// awaitCheckpoint returns the offset of the newest checkpoint. A log may
+// expire what is before it, but not the checkpoint: another is due by then.
+func awaitCheckpoint(t *testing.T, ctx context.Context, site *jaysite.Site) int64 {
 	t.Helper()
+	client := jaylog.NewClient(site.Address)
+	defer client.Close()
 	for ctx.Err() == nil {
-		for _, instance := range site.Instances {
-			if instance.Metrics().Value("checkpoints") > 0 {
-				return
+		batch, err := client.Read(ctx, jaylog.StreamConfig, 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, entry := range slices.Backward(batch.Entries) {
+			if entry.Record.Kind == jayconfig.RecordCheckpoint {
+				return entry.Offset
 			}
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	t.Fatal("no checkpoint was written")
+	return 0
 }
 
 func TestTwoOperatorsPublishAtOnce(t *testing.T) {
--- a/jay/jaystandin/batch.go
+++ b/jay/jaystandin/batch.go
@@ -29,8 +29,6 @@
 	attached *attachment
 	// gone is when the last attachment ended without a new one.
 	gone time.Time
-	// prefillOnly ends the sequence when its prompt has been read.
-	prefillOnly bool
 }
 
 func (s *sequence) pieces() int {
--- a/jay/jaystandin/engine.go
+++ b/jay/jaystandin/engine.go
@@ -248,7 +248,6 @@
 	}
 	id := r.Header.Get(jayengine.HeaderRequest)
 	s, a := e.join(id, promptOf(body), r.Header.Get(jayengine.HeaderPriority), 0, 0, false)
-	s.prefillOnly = true
 	defer e.leave(s, a)
 	for {
 		e.mu.Lock()
