Plan the roles of engines by demand, read prompts apart, measure a moving mix

Cause: roles stayed as configured, and an answer was read and given by one engine, so a shift of the mix from prompts to output could not be followed. Change: objects of class plan say what an engine does in each role; every instance measures the demand for each model and tells it with its digest; the lease holder of a cell plans one change at a time by jayrole.

--- a/jay/jaycall/complete.go
+++ b/jay/jaycall/complete.go
@@ -127,6 +127,7 @@
 func (f *Front) requestOf(c *completion, avoid string) jaydispatch.Request {
 	return jaydispatch.Request{
 		Pool:     c.route.Name,
+		Model:    c.model,
 		Caller:   c.caller.Name,
 		Weight:   c.caller.Weight,
 		Priority: c.route.Priority,
--- a/jay/jaycall/open.go
+++ b/jay/jaycall/open.go
@@ -40,14 +40,11 @@
 func (f *Front) open(ctx context.Context, c *completion, offset int64, p *progress) *opened {
 	ctx, cancel := context.WithCancel(ctx)
 	o := &opened{progress: p, cancel: cancel}
-	o.stream, o.err = f.Engines.Generate(ctx, jayengine.Generation{
-		Address:  p.grant.Address,
-		Path:     c.URL.Path,
-		Request:  c.from.request,
-		Offset:   offset,
-		Priority: string(c.route.Priority),
-		Body:     c.body,
-	}, f.Limits.First)
+	g := f.generation(c, offset, p)
+	if offset == 0 {
+		g.KV = f.readApart(ctx, g, p)
+	}
+	o.stream, o.err = f.Engines.Generate(ctx, g, f.Limits.First)
 	if o.err == nil {
 		o.event, o.err = o.stream.Next()
 	}
@@ -113,7 +110,7 @@
 // dispatcher how late it was.
 func (f *Front) lose(o *opened) {
 	o.close()
-	if o.progress.begun.IsZero() {
+	if o.progress.begun.IsZero() && !o.progress.apart {
 		f.Dispatcher.First(o.progress.grant, time.Since(o.progress.started))
 	}
 	o.progress.finish(jaydispatch.ResultUnused, true)
--- a/jay/jaycall/progress.go
+++ b/jay/jaycall/progress.go
@@ -17,6 +17,9 @@
 	started time.Time
 	begun   time.Time
 	tokens  int
+	// apart is set when another engine read the prompt, so that the time to
+	// the first token says nothing of this one.
+	apart bool
 }
 
 func newProgress(f *Front, grant jaydispatch.Grant) *progress {
@@ -25,7 +28,7 @@
 
 // end releases the upstream after a stream that ended with err.
 func (p *progress) end(ctx context.Context, err error) {
-	p.finish(endResult(ctx, err), !p.begun.IsZero())
+	p.finish(endResult(ctx, err), p.apart || !p.begun.IsZero())
 }
 
 // finish releases the upstream.
@@ -44,6 +47,9 @@
 		return
 	}
 	p.begun = time.Now()
+	if p.apart {
+		return
+	}
 	p.front.Dispatcher.First(p.grant, p.begun.Sub(p.started))
 }
 
--- a/jay/jayconfig/object.go
+++ b/jay/jayconfig/object.go
@@ -15,6 +15,7 @@
 	ClassService  Class = "service"
 	ClassRoute    Class = "route"
 	ClassCaller   Class = "caller"
+	ClassPlan     Class = "plan"
 )
 
 // Name identifies an object; it is written "class name" between the brackets of its section.
--- a/jay/jayconfig/replica_test.go
+++ b/jay/jayconfig/replica_test.go
@@ -195,7 +195,8 @@
 
 func TestParsePublishNamesTheFault(t *testing.T) {
 	tests := map[string]struct{ text, want string }{
-		"unknown class":  {"[thing x]\na = b\n", `f.ini:1: [thing x]: "thing" is not one of upstream, service, route, caller`},
+		"bad rate":       {"[plan p]\nmodel = m\nmixed = fast\nprefill = 2/0\ndecode = 1/2\n", `f.ini:3: [plan p] mixed: "fast" is not prompt tokens and output tokens a second, such as 20000/600`},
+		"unknown class":  {"[thing x]\na = b\n", `f.ini:1: [thing x]: "thing" is not one of upstream, service, route, caller, plan`},
 		"no name":        {"[route]\nmodel = m\n", "f.ini:1: [route]: section is not named [class name]"},
 		"unknown key":    {"[route r]\nmodel = m\nmade = n\n", "f.ini:3: [route r] made: unknown key"},
 		"missing key":    {"[route r]\nrank = 1\n", "f.ini:1: [route r] model: key is missing"},
--- a/jay/jayconfig/spec.go
+++ b/jay/jayconfig/spec.go
@@ -9,7 +9,7 @@
 	"jayfield.example/jay/jayini"
 )
 
-// Spec is the checked content of an object: *Upstream, *Service, *Route or *Caller.
+// Spec is the checked content of an object: *Upstream, *Service, *Route, *Caller or *Plan.
 type Spec interface {
 	fields() []jayini.Field
 }
@@ -24,8 +24,10 @@
 		return newRoute(), nil
 	case ClassCaller:
 		return newCaller(), nil
+	case ClassPlan:
+		return newPlan(), nil
 	default:
-		return nil, errors.Errorf("%q is not one of upstream, service, route, caller", string(class))
+		return nil, errors.Errorf("%q is not one of upstream, service, route, caller, plan", string(class))
 	}
 }
 
--- a/jay/jayconfig/view.go
+++ b/jay/jayconfig/view.go
@@ -19,6 +19,13 @@
 	services map[string]*Service
 	// upstreams are by name.
 	upstreams []NamedUpstream
+	plans     []NamedPlan
+}
+
+// NamedPlan is a plan with its name.
+type NamedPlan struct {
+	Name string
+	*Plan
 }
 
 // NamedUpstream is an upstream with its name.
@@ -57,6 +64,8 @@
 			v.routes[spec.Model] = append(v.routes[spec.Model], NamedRoute{Name: object.Name.String(), Route: spec})
 		case *Upstream:
 			v.upstreams = append(v.upstreams, NamedUpstream{Name: object.Name.Name, Upstream: spec})
+		case *Plan:
+			v.plans = append(v.plans, NamedPlan{Name: object.Name.Name, Plan: spec})
 		case *Service:
 			v.services[object.Name.Name] = spec
 		}
@@ -91,6 +100,16 @@
 	return models
 }
 
+// Plan returns the first plan, by name, that is for an engine.
+func (v *View) Plan(engine NamedUpstream) (NamedPlan, bool) {
+	for _, plan := range v.plans {
+		if plan.picks(engine.Upstream) {
+			return plan, true
+		}
+	}
+	return NamedPlan{}, false
+}
+
 // Route returns the route for work of a model and a caller's labels.
 func (v *View) Route(model string, caller labels.Set) (NamedRoute, bool) {
 	for _, route := range v.routes[model] {
--- a/jay/jaycontrol/carry.go
+++ b/jay/jaycontrol/carry.go
@@ -32,7 +32,7 @@
 	if len(open) > 0 {
 		return
 	}
-	if name, order, ok := c.Planner.Plan(time.Now(), engines, status); ok {
+	if name, order, ok := c.Planner.Plan(time.Now(), Scene{View: view, Engines: engines, Status: status}); ok {
 		c.recordOrder(ctx, fence, name, order)
 	}
 }
--- a/jay/jaycontrol/controller.go
+++ b/jay/jaycontrol/controller.go
@@ -55,7 +55,16 @@
 // Planner decides which engine should change.
 type Planner interface {
 	// Plan returns the next order of a cell, without ID and fence, for an engine by name.
-	Plan(now time.Time, engines []jayconfig.NamedUpstream, status map[string]jayengine.Status) (engine string, order jayengine.Order, ok bool)
+	Plan(now time.Time, scene Scene) (engine string, order jayengine.Order, ok bool)
+}
+
+// Scene is what a planner decides by.
+type Scene struct {
+	View *jayconfig.View
+	// Engines are those of the cell.
+	Engines []jayconfig.NamedUpstream
+	// Status is what the engines that answer say of themselves, by name.
+	Status map[string]jayengine.Status
 }
 
 // Ordered takes in which engines have orders that are not settled.
--- a/jay/jaycontrol/fixed.go
+++ b/jay/jaycontrol/fixed.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"jayfield.example/jay/jayconfig"
 	"jayfield.example/jay/jayengine"
 )
 
@@ -11,9 +10,9 @@
 type Fixed struct{}
 
 // Plan returns the order for the first engine whose role is not the configured one.
-func (Fixed) Plan(_ time.Time, engines []jayconfig.NamedUpstream, status map[string]jayengine.Status) (engine string, order jayengine.Order, ok bool) {
-	for _, upstream := range engines {
-		current, known := status[upstream.Name]
+func (Fixed) Plan(_ time.Time, scene Scene) (engine string, order jayengine.Order, ok bool) {
+	for _, upstream := range scene.Engines {
+		current, known := scene.Status[upstream.Name]
 		if !known || current.Busy || current.Role == "" || current.Role == string(upstream.Role) {
 			continue
 		}
--- /dev/null
+++ b/jay/jaycontrol/roles.go
@@ -0,0 +1,96 @@
+package jaycontrol
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"jayfield.example/jay/jayconfig"
+	"jayfield.example/jay/jayengine"
+	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jayrole"
+)
+
+// Demands gives the work that callers ask for in a region, by model.
+type Demands interface {
+	Demand(region string) map[string]jaymember.Demand
+}
+
+// Roles plans the roles of engines that a plan of the configuration is for,
+// by demand, and leaves all others at the roles of their objects.
+type Roles struct {
+	demands  Demands
+	planners map[string]*jayrole.Planner
+}
+
+// NewRoles returns a planner that has seen nothing.
+func NewRoles(demands Demands) *Roles {
+	return &Roles{demands: demands, planners: make(map[string]*jayrole.Planner)}
+}
+
+// Plan returns the next order of the cell.
+func (r *Roles) Plan(now time.Time, scene Scene) (engine string, order jayengine.Order, ok bool) {
+	groups := make(map[string][]jayconfig.NamedUpstream)
+	plans := make(map[string]jayconfig.NamedPlan)
+	fixed := scene
+	fixed.Engines = nil
+	for _, upstream := range scene.Engines {
+		plan, planned := scene.View.Plan(upstream)
+		if !planned {
+			fixed.Engines = append(fixed.Engines, upstream)
+			continue
+		}
+		plans[plan.Name] = plan
+		groups[plan.Name] = append(groups[plan.Name], upstream)
+	}
+	if engine, order, ok = (Fixed{}).Plan(now, fixed); ok {
+		return engine, order, true
+	}
+	for _, name := range sortedNames(plans) {
+		change, due := r.planner(name).Plan(now, plans[name].Plan, r.demand(scene, plans[name], groups[name]), usable(groups[name], scene.Status))
+		if due {
+			return change.Engine, jayengine.Order{Kind: jayengine.OrderRole, Value: string(change.Role)}, true
+		}
+	}
+	return "", jayengine.Order{}, false
+}
+
+// demand returns the cell's part of the demand of its region: that of its engines.
+func (r *Roles) demand(scene Scene, plan jayconfig.NamedPlan, group []jayconfig.NamedUpstream) jaymember.Demand {
+	region, near := group[0].Region, 0
+	for _, upstream := range scene.View.Upstreams() {
+		if upstream.Region != region {
+			continue
+		}
+		if other, ok := scene.View.Plan(upstream); ok && other.Name == plan.Name {
+			near++
+		}
+	}
+	return r.demands.Demand(region)[plan.Model].Times(float64(len(group)) / float64(near))
+}
+
+func (r *Roles) planner(name string) *jayrole.Planner {
+	planner, ok := r.planners[name]
+	if !ok {
+		planner = jayrole.NewPlanner()
+		r.planners[name] = planner
+	}
+	return planner
+}
+
+// usable returns the engines that answer, serve the model and carry out no order.
+func usable(group []jayconfig.NamedUpstream, status map[string]jayengine.Status) []jayrole.Engine {
+	var list []jayrole.Engine
+	for _, upstream := range group {
+		current, known := status[upstream.Name]
+		if !known || current.Busy || current.Role == "" || upstream.Drain {
+			continue
+		}
+		list = append(list, jayrole.Engine{Name: upstream.Name, Role: jayconfig.Role(current.Role)})
+	}
+	return list
+}
+
+func sortedNames(plans map[string]jayconfig.NamedPlan) []string {
+	return slices.Sorted(maps.Keys(plans))
+}
--- a/jay/jaydispatch/dispatcher.go
+++ b/jay/jaydispatch/dispatcher.go
@@ -43,6 +43,7 @@
 		limit:  options.Limit,
 		policy: options.Policy,
 		share:  1,
+		meter:  newMeter(),
 	}
 	return &Dispatcher{owner: jaytask.NewOwner(s, tickPeriod, (*state).tick)}
 }
@@ -52,7 +53,10 @@
 // *jayqueue.RefusalError.
 func (d *Dispatcher) Acquire(ctx context.Context, request Request) (Grant, error) {
 	w := &waiter{request: request, reply: make(chan reply, 1)}
-	err := d.owner.Tell(ctx, func(s *state) { s.submit(time.Now(), w) })
+	err := d.owner.Tell(ctx, func(s *state) {
+		s.meter.count(request)
+		s.submit(time.Now(), w)
+	})
 	if err != nil {
 		return Grant{}, jayerror.Wrap("acquire", KindGone, err)
 	}
@@ -97,6 +101,16 @@
 	d.tell(func(s *state) { s.table.Ordered(engines) })
 }
 
+// Partner assigns an engine that reads the prompt of granted work for the
+// engine that gives the answer, if one is expected to be done earlier. The
+// host no longer counts as reading it. The partner's grant must be released.
+func (d *Dispatcher) Partner(ctx context.Context, host Grant) (Grant, bool) {
+	var partner Grant
+	var found bool
+	err := d.owner.Ask(ctx, func(s *state) { partner, found = s.partner(time.Now(), host) })
+	return partner, found && err == nil
+}
+
 // Peers records the place of this instance among the others, and the work that
 // they say they run at each upstream.
 func (d *Dispatcher) Peers(place jaymember.Place, others map[string]int) {
--- a/jay/jaydispatch/request.go
+++ b/jay/jaydispatch/request.go
@@ -11,7 +11,9 @@
 // Request asks for an upstream.
 type Request struct {
 	// Pool is the name of the route's or service's object.
-	Pool     string
+	Pool string
+	// Model is the model of the work, empty for plain services.
+	Model    string
 	Caller   string
 	Weight   int
 	Priority jayconfig.Priority
@@ -39,6 +41,7 @@
 	// Expected is the predicted time to the first token.
 	Expected time.Duration
 
+	pool     string
 	upstream *jayroute.Upstream
 	work     jayroute.Work
 	ahead    int
--- a/jay/jaydispatch/state.go
+++ b/jay/jaydispatch/state.go
@@ -18,6 +18,7 @@
 	policy jayroute.Policy
 	// share is the part of all capacity that is this instance's.
 	share float64
+	meter *meter
 	// ready is set once a configuration is known.
 	ready bool
 }
@@ -92,6 +93,7 @@
 		Waited:   waited,
 		Pace:     u.Pace(),
 		Expected: u.Expected(work),
+		pool:     w.request.Pool,
 		upstream: u,
 		work:     work,
 		ahead:    s.table.Start(u, work),
@@ -100,6 +102,31 @@
 	w.reply <- reply{grant: *w.grant}
 }
 
+// partner moves the reading of a prompt from the host to another engine.
+func (s *state) partner(now time.Time, host Grant) (Grant, bool) {
+	pool, ok := s.table.Pool(host.pool)
+	if !ok {
+		return Grant{}, false
+	}
+	u, ok := s.table.Partner(now, pool, host.upstream, host.work)
+	if !ok {
+		return Grant{}, false
+	}
+	s.table.Forget(host.upstream, host.work)
+	work := host.work
+	work.Output = 0
+	return Grant{
+		Upstream: u.Name(),
+		Address:  u.Address(),
+		Region:   u.Spec().Region,
+		pool:     host.pool,
+		upstream: u,
+		work:     work,
+		ahead:    s.table.Start(u, work),
+		started:  now,
+	}, true
+}
+
 // queue returns the queue that a pool shares with all pools of the same upstreams.
 func (s *state) queue(pool *jayroute.Pool) *jayqueue.Queue[*waiter] {
 	queue, ok := s.queues[pool.Key()]
@@ -200,6 +227,7 @@
 }
 
 func (s *state) tick(now time.Time) {
+	s.meter.tick(now)
 	s.table.Sweep(now)
 	for _, queue := range s.queues {
 		refuseLate(queue.Sweep(now))
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -40,6 +40,7 @@
 	metrics     *jaymetric.Set
 	policy      jayroute.Policy
 	dial        jayengine.Dial
+	planner     func(jaycontrol.Demands) jaycontrol.Planner
 
 	platform   *jaylog.Client
 	list       *jaylist.Client
@@ -85,6 +86,11 @@
 	return func(i *Instance) { i.dial = dial }
 }
 
+// WithPlanner sets how the roles of engines are planned.
+func WithPlanner(planner func(jaycontrol.Demands) jaycontrol.Planner) Option {
+	return func(i *Instance) { i.planner = planner }
+}
+
 // WithPolicy sets the way to choose among upstreams.
 func WithPolicy(policy jayroute.Policy) Option {
 	return func(i *Instance) { i.policy = policy }
@@ -98,6 +104,7 @@
 		log:         log.With("instance", settings.Name),
 		policy:      jayroute.PolicyPredict,
 		group:       jaytask.NewGroup(),
+		planner:     func(d jaycontrol.Demands) jaycontrol.Planner { return jaycontrol.NewRoles(d) },
 	}
 	i.metrics = jaymetric.NewSet(i.log)
 	for _, option := range options {
@@ -233,7 +240,7 @@
 	i.control = jaycontrol.New(jaycontrol.Options{
 		Cell: i.settings.Zone, Incarnation: i.incarnation, TTL: i.settings.Lease, Margin: i.settings.Margin,
 		Log: i.platform, Writer: i.writer, Engines: i.engines, Configs: i.follower, Members: i.mesh,
-		Planner: jaycontrol.Fixed{}, Ordered: i.dispatcher, Metrics: i.metrics, Logger: i.log,
+		Planner: i.planner(i.mesh), Ordered: i.dispatcher, Metrics: i.metrics, Logger: i.log,
 	})
 	admin := jayadmin.NewServer(jayadmin.Options{
 		Key:       i.settings.OperatorKey,
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -20,10 +20,28 @@
 	Config int64 `msgpack:"c" json:"config"`
 	// Load is the number of requests at work.
 	Load int `msgpack:"w" json:"load"`
+	// Demand is the work that callers ask of the instance, by model.
+	Demand map[string]Demand `msgpack:"d" json:"demand"`
 	// Sequence grows with each statement of one incarnation.
 	Sequence uint64 `msgpack:"s" json:"sequence"`
 }
 
+// Demand is work that callers ask for, in tokens a second.
+type Demand struct {
+	Prompt float64 `msgpack:"p" json:"prompt"`
+	Output float64 `msgpack:"o" json:"output"`
+}
+
+// Plus returns the sum of two demands.
+func (d Demand) Plus(other Demand) Demand {
+	return Demand{Prompt: d.Prompt + other.Prompt, Output: d.Output + other.Output}
+}
+
+// Times returns a multiple of the demand.
+func (d Demand) Times(factor float64) Demand {
+	return Demand{Prompt: d.Prompt * factor, Output: d.Output * factor}
+}
+
 // Status is a member with what this instance concludes about it.
 type Status struct {
 	Member
--- a/jay/jaymesh/exchange.go
+++ b/jay/jaymesh/exchange.go
@@ -22,12 +22,13 @@
 	if err != nil {
 		return
 	}
-	working, next := m.Working(), m.configs.Next()
+	working, next, demand := m.Working(), m.configs.Next(), m.Loads.Demand(ctx)
 	var rounds []round
 	_ = m.owner.Ask(ctx, func(s *state) {
 		s.view.State(func(self *jaymember.Member) {
 			self.Load = working
 			self.Config = next
+			self.Demand = demand
 		})
 		rounds = m.plan(s, own)
 	})
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -37,6 +37,8 @@
 
 // Loads gives what an instance knows of load first-hand.
 type Loads interface {
+	// Demand returns the work that callers ask of this instance, by model.
+	Demand(ctx context.Context) map[string]jaymember.Demand
 	// Running returns this instance's work at each upstream.
 	Running(ctx context.Context) (map[string]int, error)
 	// Peers takes in this instance's place among the others, and their work.
--- a/jay/jaymesh/query.go
+++ b/jay/jaymesh/query.go
@@ -28,6 +28,20 @@
 	return live
 }
 
+// Demand returns the work that callers ask of the instances of a region, by model.
+func (m *Mesh) Demand(region string) map[string]jaymember.Demand {
+	total := make(map[string]jaymember.Demand)
+	for _, member := range m.Members() {
+		if member.Silent || member.Region != region {
+			continue
+		}
+		for model, demand := range member.Demand {
+			total[model] = total[model].Plus(demand)
+		}
+	}
+	return total
+}
+
 // Entries returns the instances that callers of a region should use, the best first.
 func (m *Mesh) Entries(region string) []jayentry.Entry {
 	members := m.Members()
--- a/jay/jaymetric/set.go
+++ b/jay/jaymetric/set.go
@@ -21,6 +21,8 @@
 	StreamsSilent   Name = "streams_silent"
 	EventsDropped   Name = "events_dropped"
 	Hedges          Name = "hedges"
+	Prefills        Name = "prefills"
+	PrefillsFailed  Name = "prefillsFailed"
 	Retries         Name = "retries"
 	RetriesRefused  Name = "retries_refused"
 	OnceSent        Name = "once_sent"
--- a/jay/jayroute/explain.go
+++ b/jay/jayroute/explain.go
@@ -104,6 +104,8 @@
 		return "under an order"
 	case now.Before(u.ejected):
 		return "ejected as slow or failing"
+	case !u.hosts():
+		return "reads prompts for others"
 	case u.free(now) <= 0:
 		return "full"
 	case !u.fits(now, w):
--- /dev/null
+++ b/jay/jayroute/partner.go
@@ -0,0 +1,42 @@
+package jayroute
+
+import (
+	"time"
+
+	"jayfield.example/jay/jayconfig"
+)
+
+const (
+	// partnerLeast is the least prompt, in tokens, that is worth the way between two engines.
+	partnerLeast = 128
+	// partnerGain is the least time in seconds that a partner must save.
+	partnerGain = 0.02
+)
+
+// Partner returns the engine that should read the work's prompt for the host
+// that gives the answer: one of the host's zone that may take work, is not
+// there for output only, and is expected to be done earlier than the host would be.
+func (t *Table) Partner(now time.Time, pool *Pool, host *Upstream, w Work) (*Upstream, bool) {
+	if t.policy != PolicyPredict || w.Prompt < partnerLeast {
+		return nil, false
+	}
+	var best *Upstream
+	least := host.reading(now, w) - partnerGain
+	for _, u := range pool.near {
+		if u == host || u.spec.Zone != host.spec.Zone || !u.reads() || !t.takes(u, now, w) {
+			continue
+		}
+		if u.hosts() && u.free(now) < 1 {
+			continue
+		}
+		if seconds := u.reading(now, w); seconds < least {
+			best, least = u, seconds
+		}
+	}
+	return best, best != nil
+}
+
+// reads reports whether the upstream reads prompts for others.
+func (u *Upstream) reads() bool {
+	return u.role() != jayconfig.RoleDecode
+}
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -40,13 +40,14 @@
 		t.urgent = now
 	}
 	near := t.claim(now, pool, w)
+	w.partner = near.reading
 	if w.Long {
 		return t.pickLong(now, pool, w, near)
 	}
 	if u := t.best(now, pool.near, w, near); u != nil {
 		return u, true
 	}
-	u := t.best(now, pool.far, w, claim{})
+	u := t.best(now, pool.far, w, claim{any: len(pool.near) == 0})
 	return u, u != nil
 }
 
@@ -76,6 +77,11 @@
 	near bool
 	// own is set while the instance does not use all of its own slots.
 	own bool
+	// any is set where no near upstream gives whole answers, so that each must do.
+	any bool
+	// reading is the seconds to read the prompt at the best near upstream with the
+	// prefill role, 0 for none.
+	reading float64
 }
 
 // claim returns the claim on the near upstreams of a pool. The own share is
@@ -85,14 +91,29 @@
 // While urgent work comes, other work leaves a slot of the own part free for it.
 func (t *Table) claim(now time.Time, pool *Pool, w Work) claim {
 	running, own := 0, 0
+	c := claim{near: true, any: true}
 	for _, u := range pool.near {
+		if !u.hosts() {
+			c = c.reads(u, u.reading(now, w))
+			continue
+		}
+		c.any = c.any && u.Leaving()
 		running += u.running
 		own += t.part(u)
 	}
 	if !w.Urgent && now.Sub(t.urgent) < urgentWindow {
 		own -= urgentSlots
 	}
-	return claim{own: running < own, near: true}
+	c.own = running < own
+	return c
+}
+
+// reads takes in that an upstream with the prefill role could read a prompt in a time.
+func (c claim) reads(u *Upstream, seconds float64) claim {
+	if !u.Leaving() && (c.reading == 0 || seconds < c.reading) {
+		c.reading = seconds
+	}
+	return c
 }
 
 // part returns the slots of a near upstream that are this instance's own. The
@@ -153,6 +174,9 @@
 
 // accepts reports whether the upstream may be given the work now under a claim.
 func (t *Table) accepts(u *Upstream, now time.Time, w Work, c claim) bool {
+	if !c.any && !u.hosts() {
+		return false
+	}
 	slots := float64(u.spec.Slots)
 	if !c.near {
 		guest := float64(u.running) < farPart*slots && float64(u.elsewhere(now)) <= guestLoad*slots
--- a/jay/jayroute/pool.go
+++ b/jay/jayroute/pool.go
@@ -53,7 +53,9 @@
 func (p *Pool) Own(t *Table, share float64) float64 {
 	own := 0
 	for _, u := range p.near {
-		own += t.part(u)
+		if u.hosts() {
+			own += t.part(u)
+		}
 	}
 	if own > 0 {
 		return float64(own)
--- a/jay/jayroute/table.go
+++ b/jay/jayroute/table.go
@@ -138,6 +138,9 @@
 	if !ok {
 		return
 	}
+	if u.report.Role != "" && load.Role != u.report.Role {
+		u.lead, u.pace, u.observed = firstLead.Seconds(), firstPace.Seconds(), false
+	}
 	u.report = load
 	u.reported = load.Measured(now)
 	u.ownThen = u.running
--- a/jay/jayroute/upstream.go
+++ b/jay/jayroute/upstream.go
@@ -79,6 +79,28 @@
 	return time.Duration(u.pace * float64(time.Second))
 }
 
+// role is the part of the work that the upstream does now, by its newest report.
+func (u *Upstream) role() jayconfig.Role {
+	if u.report.Role != "" {
+		return jayconfig.Role(u.report.Role)
+	}
+	return u.spec.Role
+}
+
+// hosts reports whether the upstream gives whole answers.
+func (u *Upstream) hosts() bool {
+	return u.role() != jayconfig.RolePrefill
+}
+
+// reading returns the expected seconds to read the work's prompt, after those ahead of it.
+func (u *Upstream) reading(now time.Time, w Work) float64 {
+	ahead := float64(u.prefill)
+	if now.Sub(u.reported) <= reportTrust {
+		ahead = max(ahead, float64(u.report.Prefill))
+	}
+	return (ahead + float64(w.Prompt)) * u.lead
+}
+
 // Running returns the number of this instance's requests at the upstream.
 func (u *Upstream) Running() int {
 	return u.running
@@ -113,15 +135,15 @@
 
 // predict returns the expected seconds until the work is complete.
 func (u *Upstream) predict(now time.Time, w Work, hit bool) float64 {
-	prompt := float64(w.Prompt)
+	reading := w
 	if hit {
-		prompt *= missShare
+		reading.Prompt = int(float64(w.Prompt) * missShare)
 	}
-	ahead := float64(u.prefill)
-	if now.Sub(u.reported) <= reportTrust {
-		ahead = max(ahead, float64(u.report.Prefill))
+	seconds := u.reading(now, reading)
+	if w.partner > 0 {
+		seconds = min(seconds, w.partner)
 	}
-	seconds := (ahead+prompt)*u.lead + float64(w.Output)*u.pace
+	seconds += float64(w.Output) * u.pace
 	if busy := -u.free(now) + 1; busy > 0 {
 		perSlot := float64(u.decode) * u.pace / float64(max(1, u.running))
 		seconds += float64(busy) * perSlot / float64(u.spec.Slots)
--- a/jay/jayroute/work.go
+++ b/jay/jayroute/work.go
@@ -16,6 +16,8 @@
 	Urgent bool
 	// Region is where the work came in.
 	Region string
+	// partner is the seconds to read the prompt at the best of the near engines that read, 0 for none.
+	partner float64
 	// Avoid is an upstream that has failed the work already.
 	Avoid *Upstream
 }
--- a/jay/jaystandin/engine.go
+++ b/jay/jaystandin/engine.go
@@ -26,6 +26,8 @@
 	prefixBytes = 512
 	// cachedShare is the part of a prompt that a cached prefix saves.
 	cachedShare = 0.7
+	// importShare is the work of taking in a prompt's KV cache as part of reading the prompt.
+	importShare = 0.02
 	// prefillRoleShare and decodeRoleShare are what an engine keeps of the
 	// rate that its role does not serve.
 	prefillRoleShare = 0.15
@@ -34,6 +36,9 @@
 	roleBoost = 1.6
 )
 
+// prefillPrefix begins the ids of prompts that are read for another engine.
+const prefillPrefix = "prefill "
+
 // EngineFaults are the ways in which a stand-in engine misbehaves.
 type EngineFaults struct {
 	// Slow divides the engine's rates; 0 and 1 are full speed.
@@ -232,7 +237,7 @@
 	}
 	e.prefixes[key] = time.Now()
 	if kv {
-		read = 1
+		read = 1 + int(importShare*float64(tokens)) + offset
 	}
 	return &sequence{
 		id: id, prompt: tokens, left: read, tokens: Tokens(prompt, count),
@@ -246,7 +251,7 @@
 	if err != nil || e.refuses(w) {
 		return err
 	}
-	id := r.Header.Get(jayengine.HeaderRequest)
+	id := prefillPrefix + r.Header.Get(jayengine.HeaderRequest)
 	s, a := e.join(id, promptOf(body), r.Header.Get(jayengine.HeaderPriority), 0, 0, false)
 	defer e.leave(s, a)
 	for {
@@ -262,6 +267,8 @@
 		}
 		select {
 		case <-a.wake:
+		case <-a.ended:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return r.Context().Err()
 		case <-e.group.Context().Done():
--- a/jaybench/internal/jayexperiment/scenario.go
+++ b/jaybench/internal/jayexperiment/scenario.go
@@ -37,6 +37,7 @@
 		"block":  block,
 		"slow":   slow,
 		"region": region,
+		"mix":    mix,
 	}
 }
 
--- a/jaybench/internal/jayexperiment/trial.go
+++ b/jaybench/internal/jayexperiment/trial.go
@@ -11,6 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jaycontrol"
 	"jayfield.example/jay/jayengine"
 	"jayfield.example/jay/jayinstance"
 	"jayfield.example/jay/jaymetric"
@@ -58,8 +61,15 @@
 	Adjust func(*jaysite.Plan)
 	// Lag is how late load reports are.
 	Lag time.Duration
+	// Planner returns the planner of each instance, nil for the daemon's own.
+	Planner plannerOf
+	// Roles has the trial wait until each zone has a lease holder.
+	Roles bool
 }
 
+// plannerOf returns the planner of an instance that knows the demand.
+type plannerOf func(jaycontrol.Demands) jaycontrol.Planner
+
 // Observed is what a trial gave.
 type Observed struct {
 	Outcomes []Outcome
@@ -87,6 +97,9 @@
 		engine.SetFaults(jaystandin.EngineFaults{Lag: t.Lag})
 	}
 	time.Sleep(settleTime)
+	if err := t.awaitHolders(ctx, site); err != nil {
+		return Observed{}, err
+	}
 	stop := t.schedule(site)
 	defer stop()
 	before := orders(site)
@@ -100,6 +113,25 @@
 	return observed, nil
 }
 
+// awaitHolders waits until the leases of all zones are held.
+func (t Trial) awaitHolders(ctx context.Context, site *jaysite.Site) error {
+	for t.Roles {
+		held := int64(0)
+		for _, instance := range site.Instances {
+			held += instance.Metrics().Value(jaymetric.LeaseHeld)
+		}
+		if held >= int64(len(regionNames())) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "leases are not held")
+		case <-time.After(settleTime / 10):
+		}
+	}
+	return nil
+}
+
 // plan returns the site of the trial.
 func (t Trial) plan(policy jayroute.Policy, link *jaydelay.Link) jaysite.Plan {
 	plan := jaysite.DefaultPlan()
@@ -116,7 +148,11 @@
 	plan.Callers = append(plan.Callers, jaysite.Account{Name: "urgent", Key: "urgent-key", Fields: "labels = class=urgent\n"})
 	plan.Extra = fmt.Sprintf("[route urgent]\nmodel = %s\nupstreams = app=assistant\ncallers = class=urgent\npriority = high\nrank = 10\n", jaysite.Model)
 	plan.Options = func(site *jaysite.Site, region string) []jayinstance.Option {
-		return []jayinstance.Option{jayinstance.WithDial(dialFrom(site, region, link))}
+		options := []jayinstance.Option{jayinstance.WithDial(dialFrom(site, region, link))}
+		if t.Planner != nil {
+			options = append(options, jayinstance.WithPlanner(t.Planner))
+		}
+		return options
 	}
 	if t.Adjust != nil {
 		t.Adjust(&plan)
