--- a/jaybench/internal/jayexperiment/mix.go
+++ b/jaybench/internal/jayexperiment/mix.go
@@ -38,7 +38,7 @@
 
 // mixRates are the rates of an engine that does both.
 func mixRates() jaystandin.Rates {
-	return jaystandin.Rates{Prefill: 4000, Decode: 400, Stream: 50, Slots: 32, Pieces: 256}
+	return jaystandin.Rates{Prefill: 4000, Decode: 400, Stream: 50, Slots: 16, Pieces: 256}
 }
 
 // mixPlan is what the planner is told of the engines: what the stand-in does in each role.
