--- a/jay/jayrole/planner.go
+++ b/jay/jayrole/planner.go
@@ -6,7 +6,7 @@
 package jayrole
 
 import (
-	"math"
+	"slices"
 	"time"
 
 	"jayfield.example/jay/jayconfig"
@@ -14,14 +14,10 @@
 )
 
 const (
-	// window is the time over which demand is averaged.
-	window = 4 * time.Second
-	// settle is how long a change must have paid before it is made.
+	// settle is how long a change must have paid without a break before it is made.
 	settle = 2 * time.Second
-	// leastGain is the least part by which a change must raise what is served.
-	leastGain = 0.05
-	// headroom is the capacity, as a multiple of the demand, above which more is worth nothing.
-	headroom = 1.15
+	// payback is how many times its cost a change must gain over the horizon.
+	payback = 1.5
 )
 
 // Engine is an engine that answers and carries out no order.
@@ -38,69 +34,63 @@
 
 // Planner plans the roles of the engines of one plan in one cell. One task owns it.
 type Planner struct {
-	demand jaymember.Demand
-	at     time.Time
+	drift drift
 	// since is when each engine took its role, or was first seen.
 	since map[string]time.Time
-	// pays is since when some change has paid without a break.
-	pays time.Time
+	// pays is since when each kind of change has paid.
+	pays map[move]time.Time
+}
+
+// move is a kind of change: from one role to another.
+type move struct {
+	from, to jayconfig.Role
 }
 
 // NewPlanner returns a planner that has seen nothing.
 func NewPlanner() *Planner {
-	return &Planner{since: make(map[string]time.Time)}
+	return &Planner{since: make(map[string]time.Time), pays: make(map[move]time.Time)}
 }
 
-// Plan returns the next change, if one pays: it serves more of the demand over
-// the plan's horizon than the engine's absence costs. At most one change is
-// made at a time; the caller asks again when it has been carried out.
+// Plan returns the next change, if one is due: by the drift of the demand it
+// serves more over the plan's horizon than the engine's absence costs, with a
+// margin, and has done so for some time. At most one change is made at a time; the caller asks
+// again when it has been carried out.
 func (p *Planner) Plan(now time.Time, plan *jayconfig.Plan, demand jaymember.Demand, engines []Engine) (Change, bool) {
-	p.observe(now, demand, engines)
-	change, ok := p.best(now, plan, engines)
-	if !ok {
-		p.pays = time.Time{}
-		return Change{}, false
-	}
-	if p.pays.IsZero() {
-		p.pays = now
-	}
-	if now.Sub(p.pays) < settle {
-		return Change{}, false
-	}
-	p.pays = time.Time{}
-	p.since[change.Engine] = now
-	return change, true
-}
-
-// best returns the change that leaves the most capacity among those that pay.
-func (p *Planner) best(now time.Time, plan *jayconfig.Plan, engines []Engine) (best Change, ok bool) {
-	before := p.scale(plan, engines)
+	p.drift.observe(now, plan, demand)
+	p.meet(now, engines)
+	outlook := p.drift.outlook(plan)
+	before := served(plan, outlook, engines)
+	var best Change
 	most := 0.0
-	for i, engine := range engines {
-		if now.Sub(p.since[engine.Name]) < plan.Stay {
+	for _, m := range moves() {
+		at := p.candidate(now, plan, engines, m.from)
+		if at < 0 {
+			delete(p.pays, m)
 			continue
 		}
-		for _, role := range []jayconfig.Role{jayconfig.RoleMixed, jayconfig.RolePrefill, jayconfig.RoleDecode} {
-			if role == engine.Role {
-				continue
-			}
-			after := p.scale(plan, with(engines, i, role))
-			if after > most && p.worth(plan, before, p.scale(plan, without(engines, i)), after) {
-				best, most, ok = Change{Engine: engine.Name, Role: role}, after, true
-			}
+		gain := (served(plan, outlook, with(engines, at, m.to)) - before) * plan.Horizon.Seconds()
+		loss := (before - served(plan, outlook, without(engines, at))) * plan.Cost.Seconds()
+		if p.settled(now, m, gain > payback*loss) && gain > most {
+			best, most = Change{Engine: engines[at].Name, Role: m.to}, gain
 		}
 	}
-	return best, ok
+	if most == 0 {
+		return Change{}, false
+	}
+	clear(p.pays)
+	p.since[best.Engine] = now
+	return best, true
 }
 
-// observe averages the demand and notes engines that are new.
-func (p *Planner) observe(now time.Time, demand jaymember.Demand, engines []Engine) {
-	part := 1 - math.Exp(-now.Sub(p.at).Seconds()/window.Seconds())
-	if p.at.IsZero() {
-		part = 1
-	}
-	p.at = now
-	p.demand = p.demand.Times(1 - part).Plus(demand.Times(part))
+// candidate returns the first engine of a role that has stayed long enough, -1 for none.
+func (p *Planner) candidate(now time.Time, plan *jayconfig.Plan, engines []Engine, role jayconfig.Role) int {
+	return slices.IndexFunc(engines, func(e Engine) bool {
+		return e.Role == role && now.Sub(p.since[e.Name]) >= plan.Stay
+	})
+}
+
+// meet notes engines that are new.
+func (p *Planner) meet(now time.Time, engines []Engine) {
 	for _, engine := range engines {
 		if _, known := p.since[engine.Name]; !known {
 			p.since[engine.Name] = now
@@ -108,17 +98,30 @@
 	}
 }
 
-// scale returns what the engines can serve, as a multiple of the demand.
-func (p *Planner) scale(plan *jayconfig.Plan, engines []Engine) float64 {
-	return Scale(plan, p.demand, engines)
+// settled notes whether a kind of change pays now, and reports whether it has for long enough.
+func (p *Planner) settled(now time.Time, m move, pays bool) bool {
+	if !pays {
+		delete(p.pays, m)
+		return false
+	}
+	if _, known := p.pays[m]; !known {
+		p.pays[m] = now
+	}
+	return now.Sub(p.pays[m]) >= settle
 }
 
-// worth reports whether a change pays.
-func (p *Planner) worth(plan *jayconfig.Plan, before, during, after float64) bool {
-	before, during, after = min(before, headroom), min(during, headroom), min(after, headroom)
-	gain := (after - before) * plan.Horizon.Seconds()
-	loss := (before - during) * plan.Cost.Seconds()
-	return after >= before*(1+leastGain) && gain > loss
+// moves returns all kinds of changes.
+func moves() []move {
+	roles := []jayconfig.Role{jayconfig.RoleMixed, jayconfig.RolePrefill, jayconfig.RoleDecode}
+	var list []move
+	for _, from := range roles {
+		for _, to := range roles {
+			if from != to {
+				list = append(list, move{from, to})
+			}
+		}
+	}
+	return list
 }
 
 // Scale returns what engines can serve, as a multiple of a demand: the lesser
@@ -136,6 +139,16 @@
 	return min(total.Prompt/max(1, demand.Prompt), total.Output/max(1, demand.Output))
 }
 
+// served returns the part of the demand that engines serve, as the mean over
+// an outlook. What they could serve above the demand is worth nothing.
+func served(plan *jayconfig.Plan, outlook []jaymember.Demand, engines []Engine) float64 {
+	total := 0.0
+	for _, demand := range outlook {
+		total += min(1, Scale(plan, demand, engines))
+	}
+	return total / float64(len(outlook))
+}
+
 func with(engines []Engine, at int, role jayconfig.Role) []Engine {
 	changed := append([]Engine(nil), engines...)
 	changed[at].Role = role
