Keep a slot of each mixed engine for reading prompts for others

The mixed engines were full of answers, so none could read for the decode engine, which then read prompts itself at a quarter of the rate. Ruled out: the slots of the decode engine (16 streams use up its output). Change: where a near engine only gives output, each mixed one leaves a slot of each instance's part free for reading.

--- a/jay/jayroute/partner.go
+++ b/jay/jayroute/partner.go
@@ -26,7 +26,7 @@
 		if u == host || u.spec.Zone != host.spec.Zone || !u.reads() || !t.takes(u, now, w) {
 			continue
 		}
-		if u.hosts() && u.free(now) < 1 {
+		if u.hosts() && u.running >= t.part(u) && float64(u.free(now)) < seenSlots*float64(t.count) {
 			continue
 		}
 		if seconds := u.reading(now, w); seconds < least {
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"jayfield.example/jay/jayconfig"
 )
 
 const (
@@ -77,6 +79,9 @@
 	near bool
 	// own is set while the instance does not use all of its own slots.
 	own bool
+	// shared is set where some near upstream only gives output, so that those which do
+	// both leave a slot of each part free to read prompts for it.
+	shared bool
 	// any is set where no near upstream gives whole answers, so that each must do.
 	any bool
 	// reading is the seconds to read the prompt at the best near upstream with the
@@ -98,9 +103,13 @@
 			continue
 		}
 		c.any = c.any && u.Leaving()
+		c.shared = c.shared || u.role() == jayconfig.RoleDecode && !u.Leaving()
 		running += u.running
 		own += t.part(u)
 	}
+	if c.shared {
+		own -= t.reserved(pool)
+	}
 	if !w.Urgent && now.Sub(t.urgent) < urgentWindow {
 		own -= urgentSlots
 	}
@@ -116,6 +125,23 @@
 	return c
 }
 
+// kept returns the slots of the own part of an upstream that are kept for reading prompts.
+func (t *Table) kept(u *Upstream, c claim) int {
+	if c.shared && u.role() == jayconfig.RoleMixed && t.part(u) > 1 {
+		return 1
+	}
+	return 0
+}
+
+// reserved returns the slots kept for reading on all near upstreams.
+func (t *Table) reserved(pool *Pool) int {
+	total := 0
+	for _, u := range pool.near {
+		total += t.kept(u, claim{shared: true})
+	}
+	return total
+}
+
 // part returns the slots of a near upstream that are this instance's own. The
 // parts of all instances add up to the slots: what an even split leaves over
 // goes to instances in turn, another one for each upstream.
@@ -182,8 +208,9 @@
 		guest := float64(u.running) < farPart*slots && float64(u.elsewhere(now)) <= guestLoad*slots
 		return guest && t.takes(u, now, w)
 	}
-	own := c.own && u.running < t.part(u)
-	seen := float64(u.free(now)) >= seenSlots*float64(t.count)
+	kept := t.kept(u, c)
+	own := c.own && u.running < t.part(u)-kept
+	seen := float64(u.free(now)) >= (seenSlots+float64(kept))*float64(t.count)
 	return (own || seen) && t.takes(u, now, w)
 }
 
