--- a/jay/jaycontrol/carry.go
+++ b/jay/jaycontrol/carry.go
@@ -209,6 +209,9 @@
 	if !ok {
 		return
 	}
+	if !c.open(ctx, task.Record) {
+		return
+	}
 	order := task.Order
 	order.Fence = number
 	task.Sending(status.Boot)
@@ -220,6 +223,19 @@
 	}
 }
 
+// open reports whether the log holds an order open for its engine. That it
+// holds another one instead would be a conflict between orders.
+func (c *Controller) open(ctx context.Context, record jayorder.Record) bool {
+	var current jayorder.Record
+	var held bool
+	_ = c.owner.Ask(ctx, func(s *state) { current, held = s.ledger.Outstanding(record.Engine) })
+	if held && current.Order.ID != record.Order.ID {
+		c.Metrics.Breach("orders: another order of the engine is open in the log")
+		return false
+	}
+	return held
+}
+
 // settle records the result of an order.
 func (c *Controller) settle(ctx context.Context, task *jayorder.Task) {
 	record := task.Record
--- a/jay/jayrole/planner.go
+++ b/jay/jayrole/planner.go
@@ -133,9 +133,6 @@
 		total.Prompt += rate.Prompt
 		total.Output += rate.Output
 	}
-	if total.Output == 0 {
-		return 0
-	}
 	return min(total.Prompt/max(1, demand.Prompt), total.Output/max(1, demand.Output))
 }
 
--- a/jay/jayrole/planner_test.go
+++ b/jay/jayrole/planner_test.go
@@ -84,23 +84,30 @@
 		// least is the part of the demand that the roles must be able to serve in the end.
 		least        float64
 		fewest, most int
+		// horizon replaces the plan's where it is not 0.
+		horizon time.Duration
 	}{
 		"light load changes nothing":         {load: 2, share: 0.2, least: 1},
 		"balanced mix changes nothing":       {load: 6, share: 0.5, least: 1},
 		"output above capacity gets engines": {load: 6, share: 0.2, least: 1, fewest: 1, most: 3},
 		"prompts above capacity get engines": {load: 6, share: 0.7, least: 1, fewest: 1, most: 2},
+		"small lack in a short-lived mix":    {load: 6, share: 0.7, least: 0.95, horizon: 5 * time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c, p, now := newCell(4), jayrole.NewPlanner(), time.Unix(1000, 0)
 			demand := demandOf(test.load, test.share)
+			own := plan()
+			if test.horizon > 0 {
+				own.Horizon = test.horizon
+			}
 			for range 600 {
 				now = now.Add(tick)
 				if c.changing(now) {
 					continue
 				}
-				if change, ok := p.Plan(now, plan(), demand, c.live(now)); ok {
+				if change, ok := p.Plan(now, own, demand, c.live(now)); ok {
 					c.change(now, change, plan().Cost)
 				}
 			}
--- a/jaybench/internal/jayexperiment/mix.go
+++ b/jaybench/internal/jayexperiment/mix.go
@@ -146,6 +146,7 @@
 		metrics = append(metrics,
 			Metric{r.name + ": done in time", "%", percentDone(r.observed.Outcomes, ClassShort), ""},
 			Metric{r.name + ": role changes", "", float64(r.observed.Changes), ""},
+			Metric{r.name + ": requests cut by changes", "", float64(r.observed.Cut), "0"},
 			Metric{r.name + ": first token p50", "ms", millis(quantile(r.observed.Outcomes, 50, begun(ClassShort), first)), ""},
 		)
 	}
--- a/jaybench/internal/jayexperiment/trial.go
+++ b/jaybench/internal/jayexperiment/trial.go
@@ -77,8 +77,8 @@
 	Extra, Requests int64
 	// Crossed are the bytes between regions.
 	Crossed int64
-	// Changes counts the role changes.
-	Changes int
+	// Changes counts the role changes, Cut the requests that they cut.
+	Changes, Cut int
 }
 
 // run runs the trial under a policy.
@@ -105,6 +105,9 @@
 	before := orders(site)
 	outcomes := newGenerator(site).run(ctx, draw(seed, t.Phases, t.Regions, t.Callers, t.Deadline))
 	observed := Observed{Outcomes: outcomes, Crossed: link.Bytes(), Changes: orders(site) - before}
+	for _, engine := range site.Engines {
+		observed.Cut += engine.Cut()
+	}
 	for _, instance := range site.Instances {
 		m := instance.Metrics()
 		observed.Extra += m.Value(jaymetric.Hedges) + m.Value(jaymetric.Retries)
