Count callers that asked within 10 s among those that share

Cause: one instance of eight hears a caller of a tenth of the load less than once a second, so at the start of a crest some of the callers that share did not count, and the others took their part of the queue.

--- a/jay/jayqueue/flow.go
+++ b/jay/jayqueue/flow.go
@@ -70,7 +70,7 @@
 }
 
 // askedWindow is how long a caller that asked counts among those that share.
-const askedWindow = 3 * time.Second
+const askedWindow = 10 * time.Second
 
 func newBand[T any]() *band[T] {
 	return &band[T]{flows: make(map[string]*flow[T]), asked: make(map[string]asked)}
