Give back the share of work that was never served

Cause: an item's virtual finish stayed with its caller's flow when the item was pushed out, given up or late, so the caller's next work stood behind service that it never had, and waited until it was refused as late. Change: what follows a removed item takes its place in virtual time. Test: TestUnservedWorkCostsNoShare, red before.

--- a/jay/jayqueue/flow.go
+++ b/jay/jayqueue/flow.go
@@ -17,6 +17,16 @@
 	index   int
 }
 
+// follow gives the items from an index on the virtual times after one, so that
+// work that was never served takes nothing of the flow's share.
+func (f *flow[T]) follow(start float64, from int) {
+	for _, item := range f.items[from:] {
+		item.start = start
+		start += item.Cost / float64(f.weight)
+	}
+	f.finish = start
+}
+
 // flowHeap orders flows by the virtual start of their first item.
 type flowHeap[T any] []*flow[T]
 
@@ -175,6 +185,7 @@
 			continue
 		}
 		f.items = append(f.items[:i], f.items[i+1:]...)
+		f.follow(item.start, i)
 		b.account(f, item)
 		break
 	}
--- a/jay/jayqueue/queue_test.go
+++ b/jay/jayqueue/queue_test.go
@@ -170,3 +170,40 @@
 		})
 	}
 }
+
+// Work that was pushed out or given up takes nothing of its caller's share.
+func TestUnservedWorkCostsNoShare(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	queue := jayqueue.New[int](100)
+	queue.Capacity(1)
+	push := func(caller string) *item {
+		i := &item{Caller: caller, Weight: 1, Priority: jayconfig.PriorityNormal, Cost: 1}
+		if _, err := queue.Push(now, i); err != nil {
+			t.Fatal(err)
+		}
+		return i
+	}
+	var gone []*item
+	for n := range 10 {
+		if i := push("a"); n > 0 {
+			gone = append(gone, i)
+		}
+	}
+	for _, i := range gone {
+		queue.Remove(i)
+	}
+	for range 4 {
+		push("a")
+		push("b")
+	}
+	served := map[string]int{}
+	for range 6 {
+		next, _ := queue.Peek(now, true)
+		queue.Take(next)
+		served[next.Caller]++
+	}
+	if served["a"] != 3 || served["b"] != 3 {
+		t.Errorf("served %v of the first six, want three each", served)
+	}
+}
