--- a/jay/jayroute/table_test.go
+++ b/jay/jayroute/table_test.go
@@ -48,7 +48,18 @@
 	work     jayroute.Work
 }
 
-// No pick takes an upstream that leaves, is avoided, or is under an order.
+// nearHost reports whether a near upstream that stays gives whole answers.
+func nearHost(table *jayroute.Table, roles map[string]string) bool {
+	for _, u := range table.Upstreams() {
+		if u.Spec().Region == "r0" && !u.Leaving() && roles[u.Name()] != "prefill" {
+			return true
+		}
+	}
+	return false
+}
+
+// No pick takes an upstream that leaves, is avoided, is under an order, or
+// only reads prompts while others give answers.
 func TestPickKeepsTheRules(t *testing.T) {
 	picks := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -58,6 +69,7 @@
 		table.Configure(configOf(t, engines, 4))
 		pool, _ := table.Pool("route r")
 		leaving, ordered := make(map[string]bool), make(map[string]bool)
+		roles := make(map[string]string)
 		var grants []grant
 		name := func(t *rapid.T) string { return fmt.Sprintf("e%d", rapid.IntRange(0, engines-1).Draw(t, "engine")) }
 		t.Repeat(map[string]func(*rapid.T){
@@ -77,6 +89,14 @@
 				if leaving[u.Name()] || ordered[u.Name()] || u == work.Avoid || u.Leaving() {
 					t.Fatalf("picked %s: leaving %t, ordered %t, avoided %t", u.Name(), leaving[u.Name()], ordered[u.Name()], u == work.Avoid)
 				}
+				if roles[u.Name()] == "prefill" && nearHost(table, roles) {
+					t.Fatalf("picked %s, which only reads prompts", u.Name())
+				}
+				if partner, ok := table.Partner(now, pool, u, work); ok {
+					if partner == u || partner.Leaving() || roles[partner.Name()] == "decode" {
+						t.Fatalf("%s reads prompts for %s: leaving %t, role %s", partner.Name(), u.Name(), partner.Leaving(), roles[partner.Name()])
+					}
+				}
 				table.First(u, work, table.Start(u, work), time.Millisecond)
 				grants = append(grants, grant{u, work})
 			},
@@ -90,7 +110,11 @@
 			"leave": func(t *rapid.T) { n := name(t); leaving[n] = !leaving[n]; table.List(leaving) },
 			"order": func(t *rapid.T) { n := name(t); ordered[n] = !ordered[n]; table.Ordered(ordered) },
 			"report": func(t *rapid.T) {
-				table.Report(now, name(t), jayengine.Load{Age: 500, Running: rapid.IntRange(0, 9).Draw(t, "running"), Pieces: 50})
+				n := name(t)
+				roles[n] = rapid.SampledFrom([]string{"mixed", "prefill", "decode"}).Draw(t, "role")
+				load := jayengine.Load{Age: 500, Running: rapid.IntRange(0, 9).Draw(t, "running"), Pieces: 50, Role: roles[n]}
+				load.Prefill = rapid.IntRange(0, 5000).Draw(t, "prefill")
+				table.Report(now, n, load)
 			},
 			"fail": func(t *rapid.T) {
 				if u, ok := table.Upstream(name(t)); ok {
--- a/jay/jaystandin/engine.go
+++ b/jay/jaystandin/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -36,9 +35,6 @@
 	roleBoost = 1.6
 )
 
-// prefillPrefix begins the ids of prompts that are read for another engine.
-const prefillPrefix = "prefill "
-
 // EngineFaults are the ways in which a stand-in engine misbehaves.
 type EngineFaults struct {
 	// Slow divides the engine's rates; 0 and 1 are full speed.
@@ -245,38 +241,6 @@
 	}
 }
 
-// prefill reads a prompt and keeps its KV cache for another engine.
-func (e *Engine) prefill(w http.ResponseWriter, r bunrouter.Request) error {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxRecordBytes))
-	if err != nil || e.refuses(w) {
-		return err
-	}
-	id := prefillPrefix + r.Header.Get(jayengine.HeaderRequest)
-	s, a := e.join(id, promptOf(body), r.Header.Get(jayengine.HeaderPriority), 0, 0, false)
-	defer e.leave(s, a)
-	for {
-		e.mu.Lock()
-		done := s.left == 0
-		if done {
-			e.batch.remove(s)
-			delete(e.sequences, id)
-		}
-		e.mu.Unlock()
-		if done {
-			return nil
-		}
-		select {
-		case <-a.wake:
-		case <-a.ended:
-			panic(http.ErrAbortHandler)
-		case <-r.Context().Done():
-			return r.Context().Err()
-		case <-e.group.Context().Done():
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
 // refuses answers a request for new work if the engine takes none.
 func (e *Engine) refuses(w http.ResponseWriter) bool {
 	e.mu.Lock()
