--- a/jay/jaystandin/platform.go
+++ b/jay/jaystandin/platform.go
@@ -59,6 +59,12 @@
 	return p.appends
 }
 
+// End returns the offset after the last record of a stream.
+func (p *Platform) End(name jaylog.Stream) int64 {
+	batch, _ := p.stream(name).read(0, 0)
+	return batch.End
+}
+
 // Expire drops the records of a stream before an offset.
 func (p *Platform) Expire(name jaylog.Stream, before int64) {
 	p.stream(name).expire(before)
--- a/jaybench/internal/jaycommand/main.go
+++ b/jaybench/internal/jaycommand/main.go
@@ -72,7 +72,7 @@
 		Name:        "jaybench",
 		ShortUsage:  "jaybench [flags] <command> [flags]",
 		FlagSet:     flags,
-		Subcommands: []*ffcli.Command{c.cost(), c.demo(), c.plot(), c.publish(), c.run(), c.scale(), c.standin()},
+		Subcommands: []*ffcli.Command{c.cost(), c.demo(), c.duty(), c.plot(), c.publish(), c.run(), c.scale(), c.standin()},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
 				return &usageError{text: fmt.Sprintf("unknown command %q", args[0])}
--- a/jaybench/internal/jayscale/scale.go
+++ b/jaybench/internal/jayscale/scale.go
@@ -196,7 +196,6 @@
 // Sites measures the control work of idle instances.
 func Sites(ctx context.Context) ([]Series, error) {
 	cpu := Series{Name: "processor time of all idle instances and stand-ins", Of: "instances", Unit: "% of a core"}
-	appends := Series{Name: "appends of an idle site", Of: "instances", Unit: "records/s"}
 	for _, instances := range []int{3, 12, 24} {
 		plan := jaysite.DefaultPlan()
 		plan.Instances, plan.Engines, plan.Services = instances, 0, 0
@@ -209,14 +208,13 @@
 			return nil, errors.Wrap(err, "configure")
 		}
 		time.Sleep(2 * time.Second)
-		used, count := cpuTime(), site.Platform.Appends()
+		used := cpuTime()
 		time.Sleep(idleTime)
-		used, count = cpuTime()-used, site.Platform.Appends()-count
+		used = cpuTime() - used
 		site.Stop()
 		cpu.Points = append(cpu.Points, Point{float64(instances), 100 * used.Seconds() / idleTime.Seconds()})
-		appends.Points = append(appends.Points, Point{float64(instances), float64(count) / idleTime.Seconds()})
 	}
-	return []Series{cpu.fit(), appends.fit()}, nil
+	return []Series{cpu.fit()}, nil
 }
 
 func inUse() uint64 {
