Move no KV cache between equal engines

Cause: a mixed engine read for another mixed one whenever 20 ms were expected to be gained, though such a site asked for no roles, and a KV cache is the most expensive thing to send. Change: engines in the prefill role read for any host, mixed ones for hosts in the decode role only; short prompts do not ask the dispatcher at all.

--- a/jay/jaydispatch/dispatcher.go
+++ b/jay/jaydispatch/dispatcher.go
@@ -105,6 +105,9 @@
 // engine that gives the answer, if one is expected to be done earlier. The
 // host no longer counts as reading it. The partner's grant must be released.
 func (d *Dispatcher) Partner(ctx context.Context, host Grant) (Grant, bool) {
+	if host.work.Prompt < jayroute.PartnerLeast {
+		return Grant{}, false
+	}
 	var partner Grant
 	var found bool
 	err := d.owner.Ask(ctx, func(s *state) { partner, found = s.partner(time.Now(), host) })
--- a/jay/jayroute/table_test.go
+++ b/jay/jayroute/table_test.go
@@ -93,8 +93,9 @@
 					t.Fatalf("picked %s, which only reads prompts", u.Name())
 				}
 				if partner, ok := table.Partner(now, pool, u, work); ok {
-					if partner == u || partner.Leaving() || roles[partner.Name()] == "decode" {
-						t.Fatalf("%s reads prompts for %s: leaving %t, role %s", partner.Name(), u.Name(), partner.Leaving(), roles[partner.Name()])
+					reads := roles[partner.Name()] == "prefill" || roles[u.Name()] == "decode" && roles[partner.Name()] != "decode"
+					if partner == u || partner.Leaving() || !reads {
+						t.Fatalf("%s reads prompts for %s: leaving %t, roles %s, %s", partner.Name(), u.Name(), partner.Leaving(), roles[partner.Name()], roles[u.Name()])
 					}
 				}
 				table.First(u, work, table.Start(u, work), time.Millisecond)
