Evaluate plans once a change, and say room, rates and grants once

No behaviour changes. The planner matched the selectors of all upstreams of a view four times a second; a view now knows the plan of each engine when it is made. That a near upstream has room stood in two forms (picks and partners), the rates of a role in the stand-in and in the experiment, the making of a grant twice with a field that nobody read; slots kept for reading were summed in a second walk over the pool. Each stands once.

--- a/jay/jayconfig/view.go
+++ b/jay/jayconfig/view.go
@@ -19,7 +19,15 @@
 	services map[string]*Service
 	// upstreams are by name.
 	upstreams []NamedUpstream
-	plans     []NamedPlan
+	// planned are the plans of the engines that one is for, by the engine's name.
+	planned map[string]NamedPlan
+	// groups count the engines of each plan in each region.
+	groups map[group]int
+}
+
+// group is the engines of a plan in a region.
+type group struct {
+	plan, region string
 }
 
 // NamedPlan is a plan with its name.
@@ -54,7 +62,10 @@
 		callers:  make(map[[sha256.Size]byte]NamedCaller),
 		routes:   make(map[string][]NamedRoute),
 		services: make(map[string]*Service),
+		planned:  make(map[string]NamedPlan),
+		groups:   make(map[group]int),
 	}
+	var plans []NamedPlan
 	_, _ = rand.Read(v.salt) // It never fails.
 	for _, object := range state.Objects() {
 		switch spec := object.Spec().(type) {
@@ -65,7 +76,7 @@
 		case *Upstream:
 			v.upstreams = append(v.upstreams, NamedUpstream{Name: object.Name.Name, Upstream: spec})
 		case *Plan:
-			v.plans = append(v.plans, NamedPlan{Name: object.Name.Name, Plan: spec})
+			plans = append(plans, NamedPlan{Name: object.Name.Name, Plan: spec})
 		case *Service:
 			v.services[object.Name.Name] = spec
 		}
@@ -73,6 +84,7 @@
 	for _, routes := range v.routes {
 		slices.SortStableFunc(routes, func(a, b NamedRoute) int { return b.Rank - a.Rank })
 	}
+	v.plan(plans)
 	return v
 }
 
@@ -100,14 +112,15 @@
 	return models
 }
 
-// Plan returns the first plan, by name, that is for an engine.
-func (v *View) Plan(engine NamedUpstream) (NamedPlan, bool) {
-	for _, plan := range v.plans {
-		if plan.picks(engine.Upstream) {
-			return plan, true
-		}
-	}
-	return NamedPlan{}, false
+// Plan returns the plan for an engine by the engine's name: the first, by its own, that picks it.
+func (v *View) Plan(engine string) (NamedPlan, bool) {
+	plan, ok := v.planned[engine]
+	return plan, ok
+}
+
+// Planned returns the number of a plan's engines in a region.
+func (v *View) Planned(plan, region string) int {
+	return v.groups[group{plan, region}]
 }
 
 // Route returns the route for work of a model and a caller's labels.
@@ -131,6 +144,19 @@
 	return v.state
 }
 
+// plan evaluates the selectors of plans once for each engine.
+func (v *View) plan(plans []NamedPlan) {
+	for _, upstream := range v.upstreams {
+		for _, plan := range plans {
+			if plan.picks(upstream.Upstream) {
+				v.planned[upstream.Name] = plan
+				v.groups[group{plan.Name, upstream.Region}]++
+				break
+			}
+		}
+	}
+}
+
 func (v *View) index(sum [sha256.Size]byte) [sha256.Size]byte {
 	mac := hmac.New(sha256.New, v.salt)
 	mac.Write(sum[:])
--- a/jay/jaycontrol/roles.go
+++ b/jay/jaycontrol/roles.go
@@ -35,7 +35,7 @@
 	fixed := scene
 	fixed.Engines = nil
 	for _, upstream := range scene.Engines {
-		plan, planned := scene.View.Plan(upstream)
+		plan, planned := scene.View.Plan(upstream.Name)
 		if !planned {
 			fixed.Engines = append(fixed.Engines, upstream)
 			continue
@@ -57,16 +57,9 @@
 
 // demand returns the cell's part of the demand of its region: that of its engines.
 func (r *Roles) demand(scene Scene, plan jayconfig.NamedPlan, group []jayconfig.NamedUpstream) jaymember.Demand {
-	region, near := group[0].Region, 0
-	for _, upstream := range scene.View.Upstreams() {
-		if upstream.Region != region {
-			continue
-		}
-		if other, ok := scene.View.Plan(upstream); ok && other.Name == plan.Name {
-			near++
-		}
-	}
-	return r.demands.Demand(region)[plan.Model].Times(float64(len(group)) / float64(near))
+	region := group[0].Region
+	part := float64(len(group)) / float64(scene.View.Planned(plan.Name, region))
+	return r.demands.Demand(region)[plan.Model].Times(part)
 }
 
 func (r *Roles) planner(name string) *jayrole.Planner {
--- a/jay/jaydispatch/demand.go
+++ b/jay/jaydispatch/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"time"
 
@@ -40,23 +41,19 @@
 		return
 	}
 	m.last = now
-	for model := range m.asked {
-		m.rates[model] = m.rates[model].Plus(jaymember.Demand{})
-	}
 	part := 1 - math.Exp(-elapsed/demandWindow.Seconds())
 	for model, rate := range m.rates {
-		m.rates[model] = rate.Times(1 - part).Plus(m.asked[model].Times(part / elapsed))
+		m.rates[model] = rate.Times(1 - part)
+	}
+	for model, work := range m.asked {
+		m.rates[model] = m.rates[model].Plus(work.Times(part / elapsed))
 	}
 	clear(m.asked)
 }
 
 // Demand returns the work that callers ask of this instance, by model.
 func (d *Dispatcher) Demand(ctx context.Context) map[string]jaymember.Demand {
-	demand := make(map[string]jaymember.Demand)
-	_ = d.owner.Ask(ctx, func(s *state) {
-		for model, rate := range s.meter.rates {
-			demand[model] = rate
-		}
-	})
+	var demand map[string]jaymember.Demand
+	_ = d.owner.Ask(ctx, func(s *state) { demand = maps.Clone(s.meter.rates) })
 	return demand
 }
--- a/jay/jaydispatch/request.go
+++ b/jay/jaydispatch/request.go
@@ -45,7 +45,6 @@
 	upstream *jayroute.Upstream
 	work     jayroute.Work
 	ahead    int
-	started  time.Time
 }
 
 // Result tells how granted work ended.
--- a/jay/jaydispatch/state.go
+++ b/jay/jaydispatch/state.go
@@ -74,7 +74,7 @@
 			return
 		}
 		queue.Take(item)
-		s.grant(now, item.Value, u, now.Sub(item.Arrived()))
+		s.grant(item.Value, u, now.Sub(item.Arrived()))
 	}
 }
 
@@ -84,22 +84,26 @@
 	}
 }
 
-func (s *state) grant(now time.Time, w *waiter, u *jayroute.Upstream, waited time.Duration) {
-	work := s.work(w.request)
-	w.grant = &Grant{
+func (s *state) grant(w *waiter, u *jayroute.Upstream, waited time.Duration) {
+	grant := s.assign(w.request.Pool, u, s.work(w.request))
+	grant.Waited = waited
+	w.grant = &grant
+	w.reply <- reply{grant: grant}
+}
+
+// assign starts work of a pool at an upstream.
+func (s *state) assign(pool string, u *jayroute.Upstream, work jayroute.Work) Grant {
+	return Grant{
 		Upstream: u.Name(),
 		Address:  u.Address(),
 		Region:   u.Spec().Region,
-		Waited:   waited,
 		Pace:     u.Pace(),
 		Expected: u.Expected(work),
-		pool:     w.request.Pool,
+		pool:     pool,
 		upstream: u,
 		work:     work,
 		ahead:    s.table.Start(u, work),
-		started:  now,
 	}
-	w.reply <- reply{grant: *w.grant}
 }
 
 // partner moves the reading of a prompt from the host to another engine.
@@ -115,16 +119,7 @@
 	s.table.Forget(host.upstream, host.work)
 	work := host.work
 	work.Output = 0
-	return Grant{
-		Upstream: u.Name(),
-		Address:  u.Address(),
-		Region:   u.Spec().Region,
-		pool:     host.pool,
-		upstream: u,
-		work:     work,
-		ahead:    s.table.Start(u, work),
-		started:  now,
-	}, true
+	return s.assign(host.pool, u, work), true
 }
 
 // queue returns the queue that a pool shares with all pools of the same upstreams.
@@ -185,13 +180,13 @@
 		return
 	}
 	if u, ok := s.table.Upstream(w.request.Prefer); ok && !u.Leaving() {
-		s.grant(now, w, u, 0)
+		s.grant(w, u, 0)
 		return
 	}
 	queue := s.queue(pool)
 	if queue.Size() == 0 {
 		if u, ok := s.table.Pick(now, pool, s.work(w.request)); ok {
-			s.grant(now, w, u, 0)
+			s.grant(w, u, 0)
 			return
 		}
 	}
--- a/jay/jayroute/claim.go
+++ b/jay/jayroute/claim.go
@@ -28,7 +28,7 @@
 //
 // While urgent work comes, other work leaves a slot of the own part free for it.
 func (t *Table) claim(now time.Time, pool *Pool, w Work) claim {
-	running, own := 0, 0
+	running, own, kept := 0, 0, 0
 	c := claim{near: true, any: true}
 	for _, u := range pool.near {
 		if !u.hosts() {
@@ -39,9 +39,10 @@
 		c.shared = c.shared || u.role() == jayconfig.RoleDecode && !u.Leaving()
 		running += u.running
 		own += t.part(u)
+		kept += t.kept(u)
 	}
 	if c.shared {
-		own -= t.reserved(pool)
+		own -= kept
 	}
 	if !w.Urgent && now.Sub(t.urgent) < urgentWindow {
 		own -= urgentSlots
@@ -58,21 +59,22 @@
 	return c
 }
 
-// kept returns the slots of the own part of an upstream that are kept for reading prompts.
-func (t *Table) kept(u *Upstream, c claim) int {
-	if c.shared && u.role() == jayconfig.RoleMixed && t.part(u) > 1 {
+// kept returns the slots of the own part of an upstream that are kept for
+// reading prompts where some near upstream only gives output.
+func (t *Table) kept(u *Upstream) int {
+	if u.role() == jayconfig.RoleMixed && t.part(u) > 1 {
 		return 1
 	}
 	return 0
 }
 
-// reserved returns the slots kept for reading on all near upstreams.
-func (t *Table) reserved(pool *Pool) int {
-	total := 0
-	for _, u := range pool.near {
-		total += t.kept(u, claim{shared: true})
+// room reports whether this instance may use one more slot of a near upstream
+// and leave some of its part: one of its own, or one that is seen free.
+func (t *Table) room(u *Upstream, now time.Time, own bool, left int) bool {
+	if own && u.running < t.part(u)-left {
+		return true
 	}
-	return total
+	return float64(u.free(now)) >= (seenSlots+float64(left))*float64(t.count)
 }
 
 // part returns the slots of a near upstream that are this instance's own. The
--- a/jay/jayroute/partner.go
+++ b/jay/jayroute/partner.go
@@ -27,7 +27,7 @@
 		if u == host || u.spec.Zone != host.spec.Zone || !u.readsFor(host) || !t.takes(u, now, w) {
 			continue
 		}
-		if u.hosts() && u.running >= t.part(u) && float64(u.free(now)) < seenSlots*float64(t.count) {
+		if u.hosts() && !t.room(u, now, true, 0) {
 			continue
 		}
 		if seconds := u.reading(now, w); seconds < least {
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -123,10 +123,11 @@
 		guest := float64(u.running) < farPart*slots && float64(u.elsewhere(now)) <= guestLoad*slots
 		return guest && t.takes(u, now, w)
 	}
-	kept := t.kept(u, c)
-	own := c.own && u.running < t.part(u)-kept
-	seen := float64(u.free(now)) >= (seenSlots+float64(kept))*float64(t.count)
-	return (own || seen) && t.takes(u, now, w)
+	left := 0
+	if c.shared {
+		left = t.kept(u)
+	}
+	return t.room(u, now, c.own, left) && t.takes(u, now, w)
 }
 
 // takes reports whether the upstream may be given the work once it has a slot.
--- a/jay/jaystandin/batch.go
+++ b/jay/jaystandin/batch.go
@@ -4,6 +4,15 @@
 	"time"
 )
 
+const (
+	// prefillRoleShare and decodeRoleShare are what an engine keeps of the
+	// rate that its role does not serve.
+	prefillRoleShare = 0.15
+	decodeRoleShare  = 0.25
+	// roleBoost is what an engine gains at the work of its role.
+	roleBoost = 1.6
+)
+
 // Rates are how fast an engine works. A role trades one for the other.
 type Rates struct {
 	// Prefill and Decode are tokens a second over all requests.
@@ -16,6 +25,19 @@
 	Pieces int
 }
 
+// InRole returns the rates of an engine in a role.
+func (r Rates) InRole(role string) Rates {
+	switch role {
+	case "prefill":
+		r.Prefill *= roleBoost
+		r.Decode *= prefillRoleShare
+	case "decode":
+		r.Prefill *= decodeRoleShare
+		r.Decode *= roleBoost
+	}
+	return r
+}
+
 // sequence is one request in the batch.
 type sequence struct {
 	id       string
--- a/jay/jaystandin/engine.go
+++ b/jay/jaystandin/engine.go
@@ -27,12 +27,6 @@
 	cachedShare = 0.7
 	// importShare is the work of taking in a prompt's KV cache as part of reading the prompt.
 	importShare = 0.02
-	// prefillRoleShare and decodeRoleShare are what an engine keeps of the
-	// rate that its role does not serve.
-	prefillRoleShare = 0.15
-	decodeRoleShare  = 0.25
-	// roleBoost is what an engine gains at the work of its role.
-	roleBoost = 1.6
 )
 
 // EngineFaults are the ways in which a stand-in engine misbehaves.
--- a/jay/jaystandin/order.go
+++ b/jay/jaystandin/order.go
@@ -86,14 +86,5 @@
 // setRole trades the rates of the batch for the role.
 func (e *Engine) setRole(role string) {
 	e.status.Role = role
-	rates := e.base
-	switch role {
-	case "prefill":
-		rates.Prefill *= roleBoost
-		rates.Decode *= prefillRoleShare
-	case "decode":
-		rates.Prefill *= decodeRoleShare
-		rates.Decode *= roleBoost
-	}
-	e.batch.rates = rates
+	e.batch.rates = e.base.InRole(role)
 }
--- a/jaybench/internal/jayexperiment/mix.go
+++ b/jaybench/internal/jayexperiment/mix.go
@@ -43,12 +43,15 @@
 
 // mixPlan is what the planner is told of the engines: what the stand-in does in each role.
 func mixPlan() *jayconfig.Plan {
-	r := mixRates()
+	rate := func(role jayconfig.Role) jayconfig.Rate {
+		r := mixRates().InRole(string(role))
+		return jayconfig.Rate{Prompt: r.Prefill, Output: r.Decode}
+	}
 	return &jayconfig.Plan{
 		Model:   jaysite.Model,
-		Mixed:   jayconfig.Rate{Prompt: r.Prefill, Output: r.Decode},
-		Prefill: jayconfig.Rate{Prompt: r.Prefill * 1.6, Output: r.Decode * 0.15},
-		Decode:  jayconfig.Rate{Prompt: r.Prefill * 0.25, Output: r.Decode * 1.6},
+		Mixed:   rate(jayconfig.RoleMixed),
+		Prefill: rate(jayconfig.RolePrefill),
+		Decode:  rate(jayconfig.RoleDecode),
 		Stay:    mixStay, Horizon: mixHorizon, Cost: mixCost,
 	}
 }
