--- a/jay/jaysite/site.go
+++ b/jay/jaysite/site.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,6 +75,19 @@
 	return s, nil
 }
 
+// Open starts a site and puts its configuration in force everywhere. It must be stopped.
+func Open(ctx context.Context, plan Plan, log *slog.Logger) (*Site, error) {
+	site, err := Start(plan, log)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := site.Configure(ctx); err != nil {
+		site.Stop()
+		return nil, err
+	}
+	return site, nil
+}
+
 // AddInstance starts one more instance.
 func (s *Site) AddInstance() (*jayinstance.Instance, error) {
 	n := len(s.Instances)
@@ -100,20 +114,21 @@
 
 // AwaitMembers waits until every running instance knows all others.
 func (s *Site) AwaitMembers(ctx context.Context) error {
-	for _, instance := range s.Instances {
-		for instance.Known() < len(s.Instances) {
-			select {
-			case <-ctx.Done():
-				return errors.Wrap(ctx.Err(), "instances do not know each other")
-			case <-time.After(awaitPoll):
-			}
-		}
-	}
-	return nil
+	return await(ctx, "instances do not know each other", func() bool {
+		return !slices.ContainsFunc(s.Instances, func(i *jayinstance.Instance) bool { return i.Known() < len(s.Instances) })
+	})
 }
 
-// awaitPoll is how often a condition of the site is looked at.
-const awaitPoll = 5 * time.Millisecond
+// AwaitHolders waits until the lease of every zone has been taken.
+func (s *Site) AwaitHolders(ctx context.Context) error {
+	return await(ctx, "leases are not held", func() bool {
+		taken := int64(0)
+		for _, instance := range s.Instances {
+			taken += instance.Metrics().Value(jaymetric.LeaseHeld)
+		}
+		return taken >= int64(len(s.plan.Regions))
+	})
+}
 
 // Caller returns a client of an account, in a region.
 func (s *Site) Caller(account Account, region string) *jayclient.Caller {
@@ -237,18 +252,7 @@
 
 // Await waits until every running instance has applied an offset.
 func (s *Site) Await(ctx context.Context, offset int64) error {
-	for {
-		waiting := false
-		for _, instance := range s.Instances {
-			waiting = waiting || running(instance) && instance.Next() <= offset
-		}
-		if !waiting {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrap(ctx.Err(), "configuration is not in force everywhere")
-		case <-time.After(awaitPoll):
-		}
-	}
+	return await(ctx, "configuration is not in force everywhere", func() bool {
+		return !slices.ContainsFunc(s.Instances, func(i *jayinstance.Instance) bool { return running(i) && i.Next() <= offset })
+	})
 }
--- a/jaybench/internal/jaycost/measure.go
+++ b/jaybench/internal/jaycost/measure.go
@@ -6,19 +6,16 @@
 	"runtime"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
+
+	"jayfield.example/jaybench.bin/internal/jaymeasure"
 )
 
 const (
-	// longestMicros bounds the latencies that are told apart.
-	longestMicros = 60_000_000
-	digits        = 3
-	tokens        = 32
-	warmUp        = 200
+	tokens = 32
+	warmUp = 200
 )
 
 // Latency is the time to the first token along a path at a rate.
@@ -67,7 +64,7 @@
 func (s *stage) offer(ctx context.Context, rate int, d time.Duration, seed uint64) []Latency {
 	source := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // Arrivals need no secrets.
 	results := []Latency{{Path: PathDirect, Rate: rate}, {Path: PathVia, Rate: rate}}
-	histograms := []*hdrhistogram.Histogram{hdrhistogram.New(1, longestMicros, digits), hdrhistogram.New(1, longestMicros, digits)}
+	histograms := []jaymeasure.Histogram{jaymeasure.NewHistogram(), jaymeasure.NewHistogram()}
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	next := time.Now()
@@ -84,13 +81,13 @@
 				results[which].Failed++
 				return
 			}
-			_ = histograms[which].RecordValue(first.Microseconds())
+			histograms[which].Record(first)
 		})
 	}
 	wait.Wait()
 	for i, h := range histograms {
-		results[i].P50 = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
-		results[i].P99 = time.Duration(h.ValueAtQuantile(99)) * time.Microsecond
+		results[i].P50 = h.Quantile(50)
+		results[i].P99 = h.Quantile(99)
 	}
 	return results
 }
@@ -121,13 +118,13 @@
 	}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	cpu := cpuTime()
+	cpu := jaymeasure.ProcessorTime()
 	for n := range requests {
 		if _, err := s.ask(ctx, path, "w-"+strconv.Itoa(n)); err != nil {
 			return Work{}, err
 		}
 	}
-	cpu = cpuTime() - cpu
+	cpu = jaymeasure.ProcessorTime() - cpu
 	runtime.ReadMemStats(&after)
 	count := uint64(requests) //nolint:gosec // It is positive.
 	return Work{
@@ -181,10 +178,3 @@
 }
 
 // cpuTime returns the processor time that the process has used.
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/jaybench/internal/jayduty/appends.go
+++ b/jaybench/internal/jayduty/appends.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jaylog"
-	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaysetting"
 	"jayfield.example/jay/jaysite"
 )
@@ -21,7 +20,6 @@
 	margin = 500 * time.Millisecond
 	// watched is how long appends are counted.
 	watched = 12 * time.Second
-	poll    = 50 * time.Millisecond
 )
 
 // Appends are the records of one stream that a site appended while nobody called it.
@@ -48,15 +46,12 @@
 	plan := jaysite.DefaultPlan()
 	plan.Instances, plan.Engines = instances, engines
 	plan.Adjust = func(s *jaysetting.Settings) { s.Lease, s.Margin = lease, margin }
-	site, err := jaysite.Start(plan, slog.New(slog.DiscardHandler))
+	site, err := jaysite.Open(ctx, plan, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
 	defer site.Stop()
-	if _, err := site.Configure(ctx); err != nil {
-		return nil, errors.Wrap(err, "configure")
-	}
-	if err := awaitHolders(ctx, site, len(plan.Regions)); err != nil {
+	if err := site.AwaitHolders(ctx); err != nil {
 		return nil, err
 	}
 	streams := []jaylog.Stream{jaylog.StreamConfig, jaylog.StreamLease, jaylog.StreamOrder, jaylog.StreamOnce}
@@ -72,21 +67,3 @@
 	}
 	return list, nil
 }
-
-// awaitHolders waits until the leases of all zones are held.
-func awaitHolders(ctx context.Context, site *jaysite.Site, zones int) error {
-	for {
-		held := 0
-		for _, instance := range site.Instances {
-			held += int(instance.Metrics().Value(jaymetric.LeaseHeld))
-		}
-		if held >= zones {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrap(ctx.Err(), "leases are not held")
-		case <-time.After(poll):
-		}
-	}
-}
--- a/jaybench/internal/jayduty/orders.go
+++ b/jaybench/internal/jayduty/orders.go
@@ -10,19 +10,16 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jaycall"
 	"jayfield.example/jay/jayclient"
 	"jayfield.example/jay/jaylog"
 	"jayfield.example/jay/jaysite"
+	"jayfield.example/jaybench.bin/internal/jaymeasure"
 )
 
 const (
-	// longestMicros is the longest time that a histogram holds.
-	longestMicros = 60_000_000
-	digits        = 3
 	// freeService takes keys without tickets.
 	freeService = "free"
 )
@@ -48,14 +45,11 @@
 	plan := jaysite.DefaultPlan()
 	plan.Instances = 8
 	plan.Extra = "[service " + freeService + "]\nselector = app=orders\nonce = yes\nintent = yes\n"
-	site, err := jaysite.Start(plan, slog.New(slog.DiscardHandler))
+	site, err := jaysite.Open(ctx, plan, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
 	defer site.Stop()
-	if _, err := site.Configure(ctx); err != nil {
-		return nil, errors.Wrap(err, "configure")
-	}
 	var list []Orders
 	for _, callers := range []int{1, 8, 32} {
 		for _, way := range []string{"straight", "ticket", "key without ticket"} {
@@ -71,7 +65,7 @@
 
 func measure(ctx context.Context, site *jaysite.Site, way string, callers, each int) (Orders, error) {
 	result := Orders{Way: way, Callers: callers, Placed: callers * each}
-	histogram := hdrhistogram.New(1, longestMicros, digits)
+	histogram := jaymeasure.NewHistogram()
 	before, started := site.Platform.End(jaylog.StreamOnce), time.Now()
 	var mu sync.Mutex
 	var failed error
@@ -84,7 +78,7 @@
 				err := order(ctx, fmt.Sprintf("%s %d %d %d", way, callers, n, m))
 				took := time.Since(begun)
 				mu.Lock()
-				_ = histogram.RecordValue(took.Microseconds())
+				histogram.Record(took)
 				if err != nil {
 					failed = err
 				}
@@ -96,8 +90,8 @@
 	result.Took = time.Since(started)
 	time.Sleep(time.Second)
 	result.Appends = site.Platform.End(jaylog.StreamOnce) - before
-	result.P50 = time.Duration(histogram.ValueAtQuantile(50)) * time.Microsecond
-	result.P99 = time.Duration(histogram.ValueAtQuantile(99)) * time.Microsecond
+	result.P50 = histogram.Quantile(50)
+	result.P99 = histogram.Quantile(99)
 	return result, failed
 }
 
--- a/jaybench/internal/jayexperiment/outcome.go
+++ b/jaybench/internal/jayexperiment/outcome.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"jayfield.example/jaybench.bin/internal/jaymeasure"
 )
 
 // Status is what became of a request.
@@ -32,20 +32,15 @@
 	Tokens int
 }
 
-const (
-	longestMicros = 300_000_000
-	digits        = 3
-)
-
 // quantile returns a quantile, in percent, of a duration over the outcomes that a condition picks.
 func quantile(outcomes []Outcome, percent float64, pick func(Outcome) bool, value func(Outcome) time.Duration) time.Duration {
-	h := hdrhistogram.New(1, longestMicros, digits)
+	h := jaymeasure.NewHistogram()
 	for _, o := range outcomes {
 		if pick(o) {
-			_ = h.RecordValue(value(o).Microseconds())
+			h.Record(value(o))
 		}
 	}
-	return time.Duration(h.ValueAtQuantile(percent)) * time.Microsecond
+	return h.Quantile(percent)
 }
 
 // count returns the number of outcomes that a condition picks.
--- a/jaybench/internal/jayexperiment/trial.go
+++ b/jaybench/internal/jayexperiment/trial.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"jayfield.example/jay/jaycontrol"
 	"jayfield.example/jay/jayengine"
 	"jayfield.example/jay/jayinstance"
@@ -85,20 +83,19 @@
 func (t Trial) run(ctx context.Context, policy jayroute.Policy, seed uint64) (Observed, error) {
 	link := &jaydelay.Link{OneWay: regionDelay}
 	plan := t.plan(policy, link)
-	site, err := jaysite.Start(plan, slog.New(slog.DiscardHandler))
+	site, err := jaysite.Open(ctx, plan, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return Observed{}, err
 	}
 	defer site.Stop()
-	if _, err := site.Configure(ctx); err != nil {
-		return Observed{}, err
-	}
 	for _, engine := range site.Engines {
 		engine.SetFaults(jaystandin.EngineFaults{Lag: t.Lag})
 	}
 	time.Sleep(settleTime)
-	if err := t.awaitHolders(ctx, site); err != nil {
-		return Observed{}, err
+	if t.Roles {
+		if err := site.AwaitHolders(ctx); err != nil {
+			return Observed{}, err
+		}
 	}
 	stop := t.schedule(site)
 	defer stop()
@@ -116,25 +113,6 @@
 	return observed, nil
 }
 
-// awaitHolders waits until the leases of all zones are held.
-func (t Trial) awaitHolders(ctx context.Context, site *jaysite.Site) error {
-	for t.Roles {
-		held := int64(0)
-		for _, instance := range site.Instances {
-			held += instance.Metrics().Value(jaymetric.LeaseHeld)
-		}
-		if held >= int64(len(regionNames())) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrap(ctx.Err(), "leases are not held")
-		case <-time.After(settleTime / 10):
-		}
-	}
-	return nil
-}
-
 // plan returns the site of the trial.
 func (t Trial) plan(policy jayroute.Policy, link *jaydelay.Link) jaysite.Plan {
 	plan := jaysite.DefaultPlan()
--- a/jaybench/internal/jaypublish/publish.go
+++ b/jaybench/internal/jaypublish/publish.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jayconfig"
@@ -17,12 +16,11 @@
 	"jayfield.example/jay/jaysetting"
 	"jayfield.example/jay/jaysite"
 	"jayfield.example/jay/jaystandin"
+	"jayfield.example/jaybench.bin/internal/jaymeasure"
 )
 
 const (
-	longestMicros = 120_000_000
-	digits        = 3
-	poll          = time.Millisecond
+	poll = time.Millisecond
 )
 
 // Spread is the time from a publish to its being in force on the last instance.
@@ -62,18 +60,15 @@
 }
 
 func spreadOf(ctx context.Context, instances, publishes int, faults jaystandin.Faults) (Spread, error) {
-	site, err := jaysite.Start(plan(instances), slog.New(slog.DiscardHandler))
+	site, err := jaysite.Open(ctx, plan(instances), slog.New(slog.DiscardHandler))
 	if err != nil {
 		return Spread{}, err
 	}
 	defer site.Stop()
-	if _, err := site.Configure(ctx); err != nil {
-		return Spread{}, err
-	}
 	site.Platform.SetFaults(faults)
 	operator := site.Operator(0)
 	defer operator.Close()
-	histogram := hdrhistogram.New(1, longestMicros, digits)
+	histogram := jaymeasure.NewHistogram()
 	for n := range publishes {
 		started := time.Now()
 		text := fmt.Sprintf("[caller extra]\nkey = sha256:%s\nweight = %d\n", strings.Repeat("0", 64), 1+n%9)
@@ -84,12 +79,12 @@
 		if err := site.Await(ctx, report.Verdict.Offset); err != nil {
 			return Spread{}, err
 		}
-		_ = histogram.RecordValue(time.Since(started).Microseconds())
+		histogram.Record(time.Since(started))
 	}
 	return Spread{
 		Instances: instances, Publishes: publishes,
-		P50: time.Duration(histogram.ValueAtQuantile(50)) * time.Microsecond,
-		P99: time.Duration(histogram.ValueAtQuantile(99)) * time.Microsecond,
+		P50: histogram.Quantile(50),
+		P99: histogram.Quantile(99),
 	}, nil
 }
 
@@ -103,14 +98,11 @@
 func Successions(ctx context.Context, kills int) (Succession, error) {
 	p := plan(kills + 2)
 	p.Regions = p.Regions[:1]
-	site, err := jaysite.Start(p, slog.New(slog.DiscardHandler))
+	site, err := jaysite.Open(ctx, p, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return Succession{}, err
 	}
 	defer site.Stop()
-	if _, err := site.Configure(ctx); err != nil {
-		return Succession{}, err
-	}
 	result := Succession{TTL: 4 * time.Second, Margin: 500 * time.Millisecond}
 	killed := make(map[int]bool)
 	holder, err := awaitHolder(ctx, site, killed)
--- a/jaybench/internal/jayscale/scale.go
+++ b/jaybench/internal/jayscale/scale.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"runtime"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +21,7 @@
 	"jayfield.example/jay/jaymesh"
 	"jayfield.example/jay/jayroute"
 	"jayfield.example/jay/jaysite"
+	"jayfield.example/jaybench.bin/internal/jaymeasure"
 )
 
 // Point is one measured value at a size.
@@ -152,7 +152,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "parse")
 	}
-	started := cpuTime()
+	started := jaymeasure.ProcessorTime()
 	for range rounds {
 		body, err := publish.WithBases(config.Version).Encode()
 		if err != nil {
@@ -165,7 +165,7 @@
 		_ = jayconfig.NewView(config)
 		table.Configure(config)
 	}
-	return (cpuTime() - started) / rounds, nil
+	return (jaymeasure.ProcessorTime() - started) / rounds, nil
 }
 
 // Digests measures the size of a digest within a zone.
@@ -199,18 +199,14 @@
 	for _, instances := range []int{3, 12, 24} {
 		plan := jaysite.DefaultPlan()
 		plan.Instances, plan.Engines, plan.Services = instances, 0, 0
-		site, err := jaysite.Start(plan, slog.New(slog.DiscardHandler))
+		site, err := jaysite.Open(ctx, plan, slog.New(slog.DiscardHandler))
 		if err != nil {
 			return nil, errors.Wrap(err, "start")
 		}
-		if _, err := site.Configure(ctx); err != nil {
-			site.Stop()
-			return nil, errors.Wrap(err, "configure")
-		}
 		time.Sleep(2 * time.Second)
-		used := cpuTime()
+		used := jaymeasure.ProcessorTime()
 		time.Sleep(idleTime)
-		used = cpuTime() - used
+		used = jaymeasure.ProcessorTime() - used
 		site.Stop()
 		cpu.Points = append(cpu.Points, Point{float64(instances), 100 * used.Seconds() / idleTime.Seconds()})
 	}
@@ -223,11 +219,3 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapInuse
 }
-
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
