Show no view before the routing table has it

The follower stored a new view, from which requests are admitted at once, and only then told the dispatcher of it; a request in between found a route that the routing table lacked. Callers of a route that was just published would see the same. Ruled out: the event's ID cut by the read of 200 bytes.

Change: the follower calls Prepare, which configures the dispatcher, before it shows a view, and Apply after. The dispatcher's messages are in order, so that no request admitted by a view can come before its table. The test reads the first line whole and says what it got.

--- a/jay/jayconfig/follower.go
+++ b/jay/jayconfig/follower.go
@@ -54,8 +54,11 @@
 	CheckpointEvery int64
 	// CheckpointAge is the time after which a checkpoint is due; it must be well below the log's retention.
 	CheckpointAge time.Duration
-	// Apply is called with each new view, in order.
-	Apply func(*View)
+	// Prepare is called with each new view, in order, before View returns it:
+	// whoever acts by a view finds the parts that Prepare configured.
+	Prepare func(*View)
+	// Apply is called with each new view, in order, once View returns it.
+	Apply func()
 }
 
 // Follower is the task that keeps the configuration in force on an instance.
@@ -95,7 +98,7 @@
 	return view.State().Next()
 }
 
-// Start begins to follow the stream; what Apply uses must be ready by then.
+// Start begins to follow the stream; what Prepare and Apply use must be ready by then.
 func (f *Follower) Start() {
 	f.group.Go(f.run)
 }
@@ -188,10 +191,11 @@
 		return
 	}
 	view := NewView(state)
+	f.Prepare(view)
 	f.view.Store(view)
 	f.Metrics.Add(jaymetric.ConfigApplied, 1)
 	f.Log.Info("configuration in force", "next", state.Next(), "objects", len(state.Objects()))
-	f.Apply(view)
+	f.Apply()
 }
 
 // checkpoint appends a checkpoint if one is due and no other instance was faster.
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -180,6 +180,7 @@
 		Log:             i.log,
 		CheckpointEvery: int64(s.Checkpoint),
 		CheckpointAge:   s.Retention / checkpointParts,
+		Prepare:         i.prepare,
 		Apply:           i.apply,
 	})
 	i.mesh.Bind(i.follower)
@@ -207,9 +208,8 @@
 	i.collector = jaystate.NewCollector(i.parts()...)
 }
 
-// apply puts a configuration in force. Once the first is, callers may be sent here.
-func (i *Instance) apply(view *jayconfig.View) {
-	i.dispatcher.Configure(view.State())
+// apply tells the peers of the first configuration in force; from then on callers may be sent here.
+func (i *Instance) apply() {
 	if !i.configured.Swap(true) {
 		i.group.Go(i.mesh.Announce)
 	}
@@ -230,6 +230,11 @@
 	}
 }
 
+// prepare gives the dispatcher a configuration before any request is read by it.
+func (i *Instance) prepare(view *jayconfig.View) {
+	i.dispatcher.Configure(view.State())
+}
+
 // run starts the parts that talk to others.
 func (i *Instance) run(l listeners) {
 	i.peers = jaypeer.NewServer(l.peer, []byte(i.settings.PeerKey), i.mesh, i.log)
--- a/jay/jaysite/fault_test.go
+++ b/jay/jaysite/fault_test.go
@@ -1,6 +1,7 @@
 package jaysite_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net/http"
@@ -122,10 +123,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	data := make([]byte, 200)
-	n, _ := response.Body.Read(data)
+	line, err := bufio.NewReader(response.Body).ReadString('\n')
 	_ = response.Body.Close()
-	id, _, _ := strings.Cut(strings.TrimPrefix(string(data[:n]), "id: "), "\n")
+	id, isID := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "id: ")
+	if err != nil || !isID {
+		t.Fatalf("status = %d, first line = %q, error = %v, want the ID of an event", response.StatusCode, line, err)
+	}
 	tests := map[string]struct {
 		caller *jayclient.Caller
 		body   []byte
