Tell each other of slow upstreams, and hedge by what is usual

Some hedges came only after 200 to 500 ms: twice the time that the slowed upstream itself was expected to take, which had been learned. Some requests went to an engine seconds after others had seen it slow: with half a stream each, every instance had to find out for itself. Some hedges found no upstream free at 80 ms and were never tried again.

Change: a slowed upstream is expected to be like the pool's median. An instance that sees streams stall tells its contacts (topic "slow"), at most twice a second for an upstream and zone. A hedge looks again after 40 ms. State, log and a counter show it. A group no longer races its own stop when it starts a goroutine.

--- a/jay/jaycall/open.go
+++ b/jay/jaycall/open.go
@@ -17,6 +17,8 @@
 	// times the expected wait, but not before the least.
 	hedgeFactor = 2
 	hedgeLeast  = 80 * time.Millisecond
+	// hedgeAgain is when a late first token is looked at again after no upstream was free for a hedge.
+	hedgeAgain = 40 * time.Millisecond
 )
 
 // opened is a stream with its first event, or the error instead.
@@ -85,6 +87,8 @@
 			if second, ok := f.hedge(ctx, c, first.grant); ok {
 				pending++
 				start(second)
+			} else if pending == 1 {
+				timer.Reset(hedgeAgain)
 			}
 		}
 	}
--- a/jay/jaydispatch/dispatcher.go
+++ b/jay/jaydispatch/dispatcher.go
@@ -28,6 +28,9 @@
 type Options struct {
 	Region string
 	Policy jayroute.Policy
+	// Slow is called from the dispatcher's task with the name of an upstream of
+	// which the other instances should hear that it is slow. It must not wait.
+	Slow func(name string)
 	// Limit bounds the items of each queue.
 	Limit int
 	Seed  uint64
@@ -42,6 +45,7 @@
 		costs:  make(map[string]poolCost),
 		limit:  options.Limit,
 		policy: options.Policy,
+		slow:   options.Slow,
 		share:  1,
 		meter:  newMeter(),
 	}
@@ -86,6 +90,11 @@
 	d.tell(func(s *state) { s.table.First(g.upstream, g.work, g.ahead, took) })
 }
 
+// Heard records that another instance saw signs of slowness at an upstream.
+func (d *Dispatcher) Heard(name string) {
+	d.tell(func(s *state) { s.table.Heard(time.Now(), name) })
+}
+
 // Late records that the first token of granted work is late.
 func (d *Dispatcher) Late(g Grant) {
 	d.tell(func(s *state) { s.table.Late(time.Now(), g.upstream) })
@@ -138,7 +147,7 @@
 func (d *Dispatcher) Stall(g Grant, stalled bool) {
 	d.tell(func(s *state) {
 		if stalled {
-			s.table.Stall(time.Now(), g.upstream)
+			s.stall(time.Now(), g.upstream)
 		} else {
 			s.table.Resume(g.upstream)
 		}
--- a/jay/jaydispatch/state.go
+++ b/jay/jaydispatch/state.go
@@ -16,6 +16,7 @@
 	costs  map[string]poolCost
 	limit  int
 	policy jayroute.Policy
+	slow   func(name string)
 	// share is the part of all capacity that is this instance's.
 	share float64
 	meter *meter
@@ -74,7 +75,7 @@
 			return
 		}
 		queue.Take(item)
-		s.grant(item.Value, u, now.Sub(item.Arrived()))
+		s.grant(item.Value, pool, u, now.Sub(item.Arrived()))
 	}
 }
 
@@ -84,22 +85,22 @@
 	}
 }
 
-func (s *state) grant(w *waiter, u *jayroute.Upstream, waited time.Duration) {
-	grant := s.assign(w.request.Pool, u, s.work(w.request))
+func (s *state) grant(w *waiter, pool *jayroute.Pool, u *jayroute.Upstream, waited time.Duration) {
+	grant := s.assign(pool, u, s.work(w.request))
 	grant.Waited = waited
 	w.grant = &grant
 	w.reply <- reply{grant: grant}
 }
 
 // assign starts work of a pool at an upstream.
-func (s *state) assign(pool string, u *jayroute.Upstream, work jayroute.Work) Grant {
+func (s *state) assign(pool *jayroute.Pool, u *jayroute.Upstream, work jayroute.Work) Grant {
 	return Grant{
 		Upstream: u.Name(),
 		Address:  u.Address(),
 		Region:   u.Spec().Region,
 		Pace:     u.Pace(),
-		Expected: u.Expected(work),
-		pool:     pool,
+		Expected: pool.Expected(u, work),
+		pool:     pool.Name(),
 		upstream: u,
 		work:     work,
 		ahead:    s.table.Start(u, work),
@@ -119,7 +120,7 @@
 	s.table.Forget(host.upstream, host.work)
 	work := host.work
 	work.Output = 0
-	return s.assign(host.pool, u, work), true
+	return s.assign(pool, u, work), true
 }
 
 // queue returns the queue that a pool shares with all pools of the same upstreams.
@@ -169,6 +170,13 @@
 	s.drainAll(now)
 }
 
+// stall notes a stalled stream, and has the other instances told of its upstream.
+func (s *state) stall(now time.Time, u *jayroute.Upstream) {
+	if s.table.Stall(now, u) {
+		s.slow(u.Name())
+	}
+}
+
 func (s *state) submit(now time.Time, w *waiter) {
 	pool, ok := s.table.Pool(w.request.Pool)
 	if !ok {
@@ -180,13 +188,13 @@
 		return
 	}
 	if u, ok := s.table.Upstream(w.request.Prefer); ok && !u.Leaving() {
-		s.grant(w, u, 0)
+		s.grant(w, pool, u, 0)
 		return
 	}
 	queue := s.queue(pool)
 	if queue.Size() == 0 {
 		if u, ok := s.table.Pick(now, pool, s.work(w.request)); ok {
-			s.grant(w, u, 0)
+			s.grant(w, pool, u, 0)
 			return
 		}
 	}
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -158,6 +158,7 @@
 	i.rates = jaylimit.New()
 	i.dispatcher = jaydispatch.New(jaydispatch.Options{
 		Region: s.Region, Policy: i.policy, Limit: s.Queue, Seed: uint64(time.Now().UnixNano()),
+		Slow: i.tellSlow,
 	})
 	worker := jaycall.NewWorker()
 	issuer := jayonce.NewIssuer(i.incarnation, time.Now(), s.Ticket)
@@ -271,3 +272,10 @@
 		}
 	})
 }
+
+// tellSlow tells the peers of an upstream that has become slow.
+func (i *Instance) tellSlow(name string) {
+	i.metrics.Add(jaymetric.SlowTold, 1)
+	i.log.Info("upstream slow", "upstream", name)
+	i.mesh.Slow(name)
+}
--- a/jay/jaymesh/digest.go
+++ b/jay/jaymesh/digest.go
@@ -29,6 +29,11 @@
 	Count    int    `msgpack:"c"`
 }
 
+// slowNotice tells of an upstream that has become slow.
+type slowNotice struct {
+	Upstream string `msgpack:"u"`
+}
+
 // snapshotRequest asks for the configuration above a position.
 type snapshotRequest struct {
 	Above int64 `msgpack:"a"`
--- a/jay/jaymesh/handle.go
+++ b/jay/jaymesh/handle.go
@@ -19,6 +19,8 @@
 		return m.handleSnapshot(body)
 	case jaypeer.TopicCall:
 		return m.handleCall(ctx, body)
+	case jaypeer.TopicSlow:
+		return nil, m.handleSlow(body)
 	case jaypeer.TopicOutcomes:
 		return nil, m.handleOutcomes(body)
 	default:
@@ -65,6 +67,15 @@
 	return nil
 }
 
+func (m *Mesh) handleSlow(body []byte) error {
+	var notice slowNotice
+	if err := msgpack.Unmarshal(body, &notice); err != nil {
+		return wrapError("slow", err)
+	}
+	m.Loads.Heard(notice.Upstream)
+	return nil
+}
+
 func (m *Mesh) handleSnapshot(body []byte) ([]byte, error) {
 	var request snapshotRequest
 	if err := msgpack.Unmarshal(body, &request); err != nil {
--- a/jay/jaymesh/mesh.go
+++ b/jay/jaymesh/mesh.go
@@ -27,6 +27,8 @@
 	loadsPassed = 64
 	// loadTrust is how long a load report is passed on.
 	loadTrust = 5 * time.Second
+	// slowBound bounds how long a notice of a slow upstream may take; later it is no news.
+	slowBound = time.Second
 )
 
 // Configs gives the configuration's position and snapshots.
@@ -41,6 +43,8 @@
 	Demand(ctx context.Context) map[string]jaymember.Demand
 	// Running returns this instance's work at each upstream.
 	Running(ctx context.Context) (map[string]int, error)
+	// Heard takes in that another instance found an upstream slow.
+	Heard(name string)
 	// Peers takes in this instance's place among the others, and their work.
 	Peers(place jaymember.Place, others map[string]int)
 	// Report takes in a load report.
@@ -131,6 +135,23 @@
 	}
 }
 
+// Slow tells all contacts at once that an upstream has become slow: their
+// own work there would show it later. It does not wait.
+func (m *Mesh) Slow(name string) {
+	body, err := msgpack.Marshal(&slowNotice{Upstream: name})
+	if err != nil {
+		m.Log.Error("notice not encoded", "error", err)
+		return
+	}
+	m.group.Go(func(ctx context.Context) {
+		for _, contact := range m.contacts(ctx) {
+			m.group.Go(func(ctx context.Context) {
+				_, _ = contact.Ask(ctx, jaypeer.TopicSlow, body, slowBound)
+			})
+		}
+	})
+}
+
 // Start begins to exchange digests.
 func (m *Mesh) Start() {
 	m.group.Every(tickPeriod, m.tick)
--- a/jay/jaymetric/set.go
+++ b/jay/jaymetric/set.go
@@ -21,6 +21,7 @@
 	StreamsSilent   Name = "streams_silent"
 	EventsDropped   Name = "events_dropped"
 	Hedges          Name = "hedges"
+	SlowTold        Name = "slow_told"
 	Prefills        Name = "prefills"
 	PrefillsFailed  Name = "prefillsFailed"
 	Retries         Name = "retries"
--- a/jay/jayroute/eject.go
+++ b/jay/jayroute/eject.go
@@ -16,10 +16,14 @@
 	// slowMemory is how long a sign of slowness counts. A slowed stream gives a token
 	// now and then, which is no sign that it is fast again.
 	slowMemory = time.Second
+	// tellEvery is how long nothing is told of an upstream after an instance told of it.
+	tellEvery = slowMemory / 2
 	// stallsLeast is the least number of stalled streams that say anything of their upstream.
 	stallsLeast = 2
 	// failuresBound is the number of failures in a row after which an upstream is ejected.
 	failuresBound = 3
+	// observedLeast is the least number of observed upstreams that have a median.
+	observedLeast = 3
 )
 
 // Fail records that an upstream broke a connection or could not be reached.
@@ -30,6 +34,16 @@
 	}
 }
 
+// Heard records that another instance saw signs of slowness at an upstream.
+func (t *Table) Heard(now time.Time, name string) {
+	u, ok := t.upstreams[name]
+	if !ok {
+		return
+	}
+	u.told = now
+	u.slow = now.Add(slowMemory)
+}
+
 // Late records that the first token of a stream is late.
 func (t *Table) Late(now time.Time, u *Upstream) {
 	u.slow = now.Add(slowMemory)
@@ -40,12 +54,19 @@
 	u.stalled = max(0, u.stalled-1)
 }
 
-// Stall records that a stream of the upstream gave no token for several times its pace.
-func (t *Table) Stall(now time.Time, u *Upstream) {
+// Stall records that a stream of the upstream gave no token for several times
+// its pace. It reports whether the other instances should be told.
+func (t *Table) Stall(now time.Time, u *Upstream) bool {
 	u.stalled++
-	if 2*u.stalled >= u.running {
-		u.slow = now.Add(slowMemory)
+	if 2*u.stalled < u.running {
+		return false
 	}
+	u.slow = now.Add(slowMemory)
+	if now.Sub(u.told) < tellEvery {
+		return false
+	}
+	u.told = now
+	return true
 }
 
 // Sweep ejects the upstreams that are several times slower than the median of
@@ -57,20 +78,21 @@
 }
 
 func (t *Table) sweepPool(now time.Time, pool *Pool) {
-	var paces []float64
+	var paces, leads []float64
 	for i := range pool.Size() {
 		if u := pool.at(i); u.observed {
 			paces = append(paces, u.slowness())
+			leads = append(leads, u.lead)
 		}
 	}
-	if len(paces) < 3 {
+	if len(paces) < observedLeast {
 		return
 	}
-	slices.Sort(paces)
-	median := paces[len(paces)/2]
+	pool.lead = median(leads)
+	usual := median(paces)
 	for i := range pool.Size() {
 		u := pool.at(i)
-		slow := u.observed && u.slowness() > slowRatio*median
+		slow := u.observed && u.slowness() > slowRatio*usual
 		if slow && !now.Before(u.ejected) && pool.mayEject(now) {
 			t.eject(now, u)
 		}
@@ -102,6 +124,12 @@
 	u.pace, u.lead = firstPace.Seconds(), firstLead.Seconds()
 }
 
+// median returns the middle of some values, which it sorts.
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
 // mayEject reports whether one more upstream of the pool may be ejected.
 func (p *Pool) mayEject(now time.Time) bool {
 	out := 1
--- a/jay/jayroute/explain.go
+++ b/jay/jayroute/explain.go
@@ -8,15 +8,17 @@
 
 // View is what a state dump shows of an upstream.
 type View struct {
-	Address string        `json:"address"`
-	Region  string        `json:"region"`
-	Slots   int           `json:"slots"`
-	Running int           `json:"running"`
-	Others  int           `json:"others"`
-	Leaving bool          `json:"leaving"`
-	Ejected bool          `json:"ejected"`
-	Stalled int           `json:"stalled"`
-	Pace    time.Duration `json:"pace"`
+	Address string `json:"address"`
+	Region  string `json:"region"`
+	Slots   int    `json:"slots"`
+	Running int    `json:"running"`
+	Others  int    `json:"others"`
+	Leaving bool   `json:"leaving"`
+	Ejected bool   `json:"ejected"`
+	Stalled int    `json:"stalled"`
+	// Slow is set while a sign of slowness, own or heard of, counts.
+	Slow bool          `json:"slow"`
+	Pace time.Duration `json:"pace"`
 	// ReportAge is the age of the newest load report, 0 where there is none.
 	ReportAge time.Duration `json:"reportAge"`
 }
@@ -70,6 +72,7 @@
 		Leaving: u.Leaving(),
 		Ejected: now.Before(u.ejected),
 		Stalled: u.stalled,
+		Slow:    now.Before(u.slow),
 		Pace:    u.Pace(),
 	}
 	if !u.reported.IsZero() {
--- a/jay/jayroute/pool.go
+++ b/jay/jayroute/pool.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,10 +18,23 @@
 	key string
 	// near are the upstreams of the instance's own region, far all others.
 	near, far []*Upstream
+	// lead is the median seconds for a prompt token over the upstreams, 0 until enough were observed.
+	lead float64
 	// turn counts the picks of the round-robin baseline.
 	turn int
 }
 
+// Expected returns the time to the first token of work that starts now at an
+// upstream. One slower than the median is expected to be like the median: it
+// is late as soon as another would have been done.
+func (p *Pool) Expected(u *Upstream, w Work) time.Duration {
+	lead := u.lead
+	if p.lead > 0 {
+		lead = min(lead, p.lead)
+	}
+	return time.Duration(float64(u.prefill+w.Prompt) * lead * float64(time.Second))
+}
+
 // Key returns what pools of the same upstreams share.
 func (p *Pool) Key() string {
 	return p.key
--- a/jay/jayroute/upstream.go
+++ b/jay/jayroute/upstream.go
@@ -46,7 +46,9 @@
 	// stalled counts own streams that stopped giving tokens.
 	stalled int
 	// slow is until when a stalled stream or a late first token counts against the upstream.
-	slow     time.Time
+	slow time.Time
+	// told is when this instance last told the others of it, or heard it from one.
+	told     time.Time
 	failures int
 }
 
@@ -59,11 +61,6 @@
 	return u.spec.Address
 }
 
-// Expected returns the predicted time to the first token of work that starts now.
-func (u *Upstream) Expected(w Work) time.Duration {
-	return time.Duration(float64(u.prefill+w.Prompt) * u.lead * float64(time.Second))
-}
-
 // Leaving reports whether the upstream takes no new work, for any of the reasons known.
 func (u *Upstream) Leaving() bool {
 	return u.leaving || u.listed || u.ordered || u.spec.Drain || u.report.Leaving
--- a/jay/jaysite/fault_test.go
+++ b/jay/jaysite/fault_test.go
@@ -5,17 +5,20 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"jayfield.example/jay/jayclient"
+	"jayfield.example/jay/jaydispatch"
 	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaysetting"
 	"jayfield.example/jay/jaysite"
 	"jayfield.example/jay/jaystandin"
+	"jayfield.example/jay/jaystate"
 )
 
 // start starts a configured site that ends with the test.
@@ -263,3 +266,42 @@
 		t.Error("no stream was hedged")
 	}
 }
+
+// An instance that has no work at a slowed engine hears of it from one that has.
+func TestInstancesTellEachOtherOfSlowEngines(t *testing.T) {
+	t.Parallel()
+	site, ctx := start(t, func(p *jaysite.Plan) {
+		p.Regions, p.Instances, p.Engines = p.Regions[:1], 2, 1
+	})
+	caller := jayclient.NewCaller("shop-12-key", "", "http://"+site.Instances[0].Addresses().Caller)
+	address := "http://" + site.Instances[0].Addresses().Caller
+	response, err := caller.Do(ctx, address, http.MethodPost, "/v1/chat/completions", nil, chat("the long list", 2000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err := bufio.NewReader(response.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	site.Engines[0].SetFaults(jaystandin.EngineFaults{Slow: 50})
+	for !slowAt(site.Instances[1].Dump(ctx)) {
+		if ctx.Err() != nil {
+			t.Fatal("the other instance has not heard")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if site.Instances[1].Metrics().Value(jaymetric.SlowTold) > 0 {
+		t.Error("an instance without work told of slowness")
+	}
+}
+
+// slowAt reports whether an instance counts some upstream as slow.
+func slowAt(dump jaystate.Dump) bool {
+	for _, section := range dump.Sections {
+		state, ok := section.State.(jaydispatch.Dump)
+		if ok && slices.ContainsFunc(state.Upstreams, func(u jaydispatch.UpstreamState) bool { return u.Slow }) {
+			return true
+		}
+	}
+	return false
+}
--- a/jay/jaytask/group.go
+++ b/jay/jaytask/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -10,7 +11,10 @@
 // Group is a part made of goroutines that end together.
 type Group struct {
 	tomb tomb.Tomb
-	ctx  context.Context //nolint:containedctx // It lives exactly as long as the tomb.
+	// starting is held while a goroutine is started or the part is told to stop,
+	// since a tomb without goroutines may not start another.
+	starting sync.Mutex
+	ctx      context.Context //nolint:containedctx // It lives exactly as long as the tomb.
 }
 
 // NewGroup returns a part with no goroutine yet.
@@ -36,6 +40,8 @@
 
 // Go starts a goroutine; a group that is stopping starts none.
 func (g *Group) Go(run func(context.Context)) {
+	g.starting.Lock()
+	defer g.starting.Unlock()
 	if !g.tomb.Alive() {
 		return
 	}
@@ -63,6 +69,8 @@
 
 // Stop ends the part and waits for its goroutines.
 func (g *Group) Stop() {
+	g.starting.Lock()
 	g.tomb.Kill(nil)
+	g.starting.Unlock()
 	<-g.tomb.Dead()
 }
