Count borrowed slots for all, and go round slow engines to far ones

A third fault came up in the crest: an item that goes before urgent work by the floor could not take the slot kept for urgent work, and held the urgent item behind it, so that the slot stood idle before both.

Change: until an instance hears of the others it takes each of them to have borrowed as much as itself. A far engine goes before a slow near one. Slots kept for urgent work are open to work that passes it by the floor.

--- a/jay/jaydispatch/state.go
+++ b/jay/jaydispatch/state.go
@@ -62,21 +62,33 @@
 		if item == nil {
 			return
 		}
-		pool, ok := s.table.Pool(item.Value.request.Pool)
-		if !ok {
-			return
-		}
-		u, ok := s.table.Pick(now, pool, s.work(item.Value.request))
-		if !ok && item.Long && long {
-			long = false
+		if s.serve(now, queue, item) {
 			continue
 		}
-		if !ok {
+		if !item.Long || !long {
 			return
 		}
-		queue.Take(item)
-		s.grant(item.Value, pool, u, now.Sub(item.Arrived()))
+		long = false
+	}
+}
+
+// serve grants an item of a queue, if an upstream may take it. Slots that are
+// kept for urgent work are open to work that goes before it: nothing is gained
+// by having both wait.
+func (s *state) serve(now time.Time, queue *jayqueue.Queue[*waiter], item *jayqueue.Item[*waiter]) bool {
+	pool, ok := s.table.Pool(item.Value.request.Pool)
+	if !ok {
+		return false
+	}
+	work := s.work(item.Value.request)
+	work.Urgent = work.Urgent || queue.Passes(item)
+	u, ok := s.table.Pick(now, pool, work)
+	if !ok {
+		return false
 	}
+	queue.Take(item)
+	s.grant(item.Value, pool, u, now.Sub(item.Arrived()))
+	return true
 }
 
 func (s *state) drainAll(now time.Time) {
--- a/jay/jayqueue/queue.go
+++ b/jay/jayqueue/queue.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// Passes reports whether an item that Peek returned goes before waiting work of a
+// higher priority, by the floor.
+func (q *Queue[T]) Passes(item *Item[T]) bool {
+	for _, p := range priorities() {
+		if p == item.Priority {
+			break
+		}
+		if q.bands[bandKey{p, false}].count+q.bands[bandKey{p, true}].count > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Push adds an item, or refuses it with a *RefusalError. An item of a caller
 // below its share may push out the newest items of a caller above it, which
 // are then refused in its place.
--- a/jay/jayroute/claim.go
+++ b/jay/jayroute/claim.go
@@ -69,12 +69,14 @@
 }
 
 // room reports whether this instance may use one more slot of a near upstream
-// and leave some of its part: one of its own, or one that is seen free.
+// and leave some of its part: one of its own, or one that is seen free. What
+// it took since it heard of the others, each of them is taken to have taken too.
 func (t *Table) room(u *Upstream, now time.Time, own bool, left int) bool {
 	if own && u.running < t.part(u)-left {
 		return true
 	}
-	return float64(u.free(now)) >= (seenSlots+float64(left))*float64(t.count)
+	free := u.free(now) - u.taken*(t.count-1)
+	return float64(free) >= (seenSlots+float64(left))*float64(t.count)
 }
 
 // part returns the slots of a near upstream that are this instance's own. The
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -44,10 +44,13 @@
 	if w.Long {
 		return t.pickLong(now, pool, w, near)
 	}
-	if u := t.best(now, pool.near, w, near); u != nil {
+	u := t.best(now, pool.near, w, near)
+	if u != nil && !now.Before(u.slow) {
 		return u, true
 	}
-	u := t.best(now, pool.far, w, claim{any: len(pool.near) == 0})
+	if guest := t.best(now, pool.far, w, claim{any: len(pool.near) == 0}); guest != nil && (u == nil || !now.Before(guest.slow)) {
+		return guest, true
+	}
 	return u, u != nil
 }
 
--- a/jay/jayroute/slow_test.go
+++ b/jay/jayroute/slow_test.go
@@ -97,3 +97,64 @@
 		t.Errorf("expected %v at the slow upstream, want about %v", got, want)
 	}
 }
+
+func TestBorrowedSlotsAreCountedForAll(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		others int
+		want   int
+	}{
+		// Of 8 slots, 2 are the own part of the instance among four.
+		"all free":             {0, 3},
+		"three seen free":      {3, 2},
+		"all of others in use": {6, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			table := jayroute.NewTable("r0", jayroute.PolicyPredict, rand.New(rand.NewPCG(1, 2)))
+			table.Configure(configOf(t, 1, 8))
+			table.Share(0, 4)
+			table.Others(map[string]int{"e0": test.others})
+			pool, _ := table.Pool("route r")
+			work, got := jayroute.Work{Prompt: 100, Output: 30}, 0
+			for range 8 {
+				if u, ok := table.Pick(time.Unix(0, 0), pool, work); ok {
+					table.Start(u, work)
+					got++
+				}
+			}
+			if got != test.want {
+				t.Errorf("took %d slots before it heard of the others again, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestFarUpstreamGoesBeforeASlowNearOne(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		slow []string
+		want string
+	}{
+		"near is well":      {nil, "e0"},
+		"near is slow":      {[]string{"e0"}, "e1"},
+		"all are slow":      {[]string{"e0", "e1"}, "e0"},
+		"far alone is slow": {[]string{"e1"}, "e0"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			table := jayroute.NewTable("r0", jayroute.PolicyPredict, rand.New(rand.NewPCG(1, 2)))
+			table.Configure(configOf(t, 2, 8))
+			for _, name := range test.slow {
+				table.Heard(time.Unix(0, 0), name)
+			}
+			pool, _ := table.Pool("route r")
+			u, ok := table.Pick(time.Unix(0, 0), pool, jayroute.Work{Prompt: 100, Output: 30})
+			if !ok || u.Name() != test.want {
+				t.Errorf("picked %v, want %s", u, test.want)
+			}
+		})
+	}
+}
--- a/jay/jayroute/table.go
+++ b/jay/jayroute/table.go
@@ -113,6 +113,7 @@
 func (t *Table) Others(running map[string]int) {
 	for name, u := range t.upstreams {
 		u.others = running[name]
+		u.taken = 0
 	}
 }
 
@@ -157,6 +158,9 @@
 // Start assigns a piece of work to an upstream and returns the prompt tokens ahead of it.
 func (t *Table) Start(u *Upstream, w Work) (ahead int) {
 	ahead = u.prefill
+	if u.running >= t.part(u) {
+		u.taken++
+	}
 	u.running++
 	u.prefill += w.Prompt
 	u.decode += w.Output
--- a/jay/jayroute/upstream.go
+++ b/jay/jayroute/upstream.go
@@ -37,6 +37,8 @@
 	ownThen int
 	// others is the work that other instances say they run here.
 	others int
+	// taken counts the slots beyond the own part that this instance took since it last heard of others.
+	taken int
 
 	leaving  bool
 	listed   bool
