--- a/jaybench/internal/jaycost/measure.go
+++ b/jaybench/internal/jaycost/measure.go
@@ -160,7 +160,7 @@
 	for n := range streams {
 		response, err := s.open(ctx, path, "m-"+strconv.Itoa(n))
 		if err != nil {
-			return Memory{}, errors.Wrapf(err, "stream %d", n)
+			return Memory{}, errors.Wrapf(err, "stream %d of %d; each takes four open files, so raise their limit or ask for fewer with -streams", n, streams)
 		}
 		defer response.Body.Close() //nolint:errcheck // The stream is given up.
 	}
