Have a home wait for the intent that makes it the home

Cause: three "make test" side by side gave "unknown" for keys without tickets although everything was up: the home of a key got a call from an instance that had read the log's intent before the home itself had, and took the key for one begun before ("ticket is too old"). True, but of no use to the caller, and it stays so for that try.

Change: a home that is sent a key with an intent waits, within the caller's time, until it has read that intent. Clients state a tenth less than their own time, so that an answer at its end still comes back.

TestHomeWaitsForTheIntentThatMakesItTheHome is red without the wait.

--- a/jay/jayclient/caller.go
+++ b/jay/jayclient/caller.go
@@ -27,6 +27,8 @@
 	dialBound = 2 * time.Second
 	// maxPast bounds the addresses kept from earlier answers.
 	maxPast = 16
+	// wayBack is the part of a caller's time, one in so many, that is left for the answer's way back.
+	wayBack = 10
 )
 
 // Caller is a client of one account. It is safe for concurrent use.
@@ -105,7 +107,8 @@
 		request.Header.Set(jaycall.HeaderRegion, c.region)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set(jaycall.HeaderTimeout, time.Until(deadline).String())
+		left := time.Until(deadline)
+		request.Header.Set(jaycall.HeaderTimeout, (left - left/wayBack).String())
 	}
 	response, err := c.http.Do(request)
 	return response, errors.WithStack(err)
--- a/jay/jayonce/home.go
+++ b/jay/jayonce/home.go
@@ -92,6 +92,9 @@
 func (h *Home) Do(ctx context.Context, call Call) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, call.Left)
 	defer cancel()
+	if call.Intent {
+		h.awaitIntent(ctx, call.Key)
+	}
 	step, entry, err := h.begin(ctx, call)
 	if err != nil {
 		return refusal(err)
@@ -197,6 +200,26 @@
 	return home, ok
 }
 
+// awaitIntent waits until the home has read the intent of a key: the instance
+// that sends the call may have read the log further.
+func (h *Home) awaitIntent(ctx context.Context, key Key) {
+	known := false
+	for !known {
+		err := h.owner.Ask(ctx, func(s *homeState) {
+			_, known = s.intents.Home(key)
+			known = known || s.table.Phase(key) != ""
+		})
+		if err != nil || known {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(winnerPoll):
+		}
+	}
+}
+
 // begin checks the ticket and registers the attempt at one instant, so that a
 // key cannot be forgotten between the two.
 func (h *Home) begin(ctx context.Context, call Call) (step Step, entry *Entry, err error) {
--- /dev/null
+++ b/jay/jayonce/intent_test.go
@@ -0,0 +1,49 @@
+package jayonce_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfield.example/jay/jaylog"
+	"jayfield.example/jay/jayonce"
+)
+
+// doneWorker does any work at once.
+type doneWorker struct{}
+
+func (doneWorker) Work(_ context.Context, _ jayonce.Call, gate jayonce.Gate) jayonce.Outcome {
+	if !gate.Sent() {
+		return jayonce.Outcome{Run: jayonce.RunNot}
+	}
+	return jayonce.Outcome{Run: jayonce.RunDone}
+}
+
+// Another instance may have read further than the home that it sends a key to.
+func TestHomeWaitsForTheIntentThatMakesItTheHome(t *testing.T) {
+	t.Parallel()
+	issuer := jayonce.NewIssuer("i-1", time.Now(), ticketLife)
+	home := jayonce.NewHome(issuer, doneWorker{}, func(jayonce.Recorded) {}, func(rule string) { t.Error("invariant broken:", rule) })
+	t.Cleanup(home.Stop)
+	key := jayonce.Key{Caller: "shop-12", Key: "my-own-key"}
+	outcome := make(chan jayonce.Outcome)
+	go func() {
+		outcome <- home.Do(context.Background(), jayonce.Call{Key: key, Intent: true, Left: time.Minute})
+	}()
+	select {
+	case early := <-outcome:
+		t.Fatalf("run = %q before the intent was read", early.Run)
+	case <-time.After(50 * time.Millisecond):
+	}
+	body, err := msgpack.Marshal([]jayonce.Intent{{Key: key, Home: "i-1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := jaylog.NewWriter("w").Record(jayonce.RecordIntents, body)
+	home.Read(jaylog.Batch{End: 1, Entries: []jaylog.Entry{{Record: record}}})
+	if got := <-outcome; got.Run != jayonce.RunDone {
+		t.Errorf("run = %q, want done: %s", got.Run, got.Reason)
+	}
+}
