Parse a document to a state, and ask for slowness, in one place

Cause: a last reading of the change. Three places turned a document into the state after its publish (two tests and the scale measurement); three asked whether a sign of slowness counts; the queue counted a priority's waiting work twice.

Change: jayconfig.StateOf, Upstream.slowed and Queue.waits; no behaviour changes.

--- a/jay/jayconfig/state.go
+++ b/jay/jayconfig/state.go
@@ -31,6 +31,19 @@
 	return &State{objects: map[Name]Object{}}
 }
 
+// StateOf returns the state after a document, named source in errors, was the first to be published.
+func StateOf(source, document string) (*State, error) {
+	publish, err := ParsePublish(source, document)
+	if err != nil {
+		return nil, err
+	}
+	body, err := publish.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return NewState().Apply(jaylog.Entry{Record: jaylog.NewWriter(source).Record(RecordPublish, body)})
+}
+
 // Apply returns the state after an entry. It fails with KindFormat on a
 // record of a newer format, and with KindStale on an offset that is not the next.
 func (s *State) Apply(entry jaylog.Entry) (*State, error) {
--- a/jay/jaydispatch/dispatcher_test.go
+++ b/jay/jaydispatch/dispatcher_test.go
@@ -8,7 +8,6 @@
 
 	"jayfield.example/jay/jayconfig"
 	"jayfield.example/jay/jaydispatch"
-	"jayfield.example/jay/jaylog"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jayroute"
 )
@@ -18,15 +17,7 @@
 func dispatcherOf(t *testing.T, own int) *jaydispatch.Dispatcher {
 	t.Helper()
 	const document = "[upstream e]\naddress = http://127.0.0.1:9000\nregion = r\nzone = z\nmodel = m\nslots = %d\n[route r]\nmodel = m\n"
-	publish, err := jayconfig.ParsePublish("test", fmt.Sprintf(document, 2*own))
-	if err != nil {
-		t.Fatal(err)
-	}
-	body, err := publish.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	state, err := jayconfig.NewState().Apply(jaylog.Entry{Record: jaylog.NewWriter("w").Record(jayconfig.RecordPublish, body)})
+	state, err := jayconfig.StateOf("test", fmt.Sprintf(document, 2*own))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/jay/jayqueue/queue.go
+++ b/jay/jayqueue/queue.go
@@ -58,6 +58,20 @@
 	return q
 }
 
+// Passes reports whether an item that Peek returned goes before waiting work of a
+// higher priority, by the floor.
+func (q *Queue[T]) Passes(item *Item[T]) bool {
+	for _, p := range priorities() {
+		if p == item.Priority {
+			break
+		}
+		if q.waits(p) {
+			return true
+		}
+	}
+	return false
+}
+
 // Peek returns the item that is served next, or nil. Long items are passed
 // over unless long is set. Items that can no longer be in time are taken out
 // and come back as late, to be refused.
@@ -76,20 +90,6 @@
 	}
 }
 
-// Passes reports whether an item that Peek returned goes before waiting work of a
-// higher priority, by the floor.
-func (q *Queue[T]) Passes(item *Item[T]) bool {
-	for _, p := range priorities() {
-		if p == item.Priority {
-			break
-		}
-		if q.bands[bandKey{p, false}].count+q.bands[bandKey{p, true}].count > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Push adds an item, or refuses it with a *RefusalError. An item of a caller
 // below its share may push out the newest items of a caller above it, which
 // are then refused in its place.
@@ -277,10 +277,15 @@
 	return time.Duration(cost / max(1, q.rate) * float64(time.Second))
 }
 
+// waits reports whether work of a priority waits.
+func (q *Queue[T]) waits(p jayconfig.Priority) bool {
+	return q.bands[bandKey{p, false}].count+q.bands[bandKey{p, true}].count > 0
+}
+
 func (q *Queue[T]) waitsBelow(priority jayconfig.Priority) bool {
 	below := false
 	for _, p := range priorities() {
-		if below && q.bands[bandKey{p, false}].count+q.bands[bandKey{p, true}].count > 0 {
+		if below && q.waits(p) {
 			return true
 		}
 		below = below || p == priority
--- a/jay/jayroute/eject.go
+++ b/jay/jayroute/eject.go
@@ -110,6 +110,11 @@
 	return u.pace
 }
 
+// slowed reports whether a sign of slowness, own or heard of, counts.
+func (u *Upstream) slowed(now time.Time) bool {
+	return now.Before(u.slow)
+}
+
 // stalling reports whether most of this instance's streams at the upstream
 // have stalled. A single one may have causes of its own.
 func (u *Upstream) stalling() bool {
--- a/jay/jayroute/explain.go
+++ b/jay/jayroute/explain.go
@@ -72,7 +72,7 @@
 		Leaving: u.Leaving(),
 		Ejected: now.Before(u.ejected),
 		Stalled: u.stalled,
-		Slow:    now.Before(u.slow),
+		Slow:    u.slowed(now),
 		Pace:    u.Pace(),
 	}
 	if !u.reported.IsZero() {
--- a/jay/jayroute/pick.go
+++ b/jay/jayroute/pick.go
@@ -45,10 +45,10 @@
 		return t.pickLong(now, pool, w, near)
 	}
 	u := t.best(now, pool.near, w, near)
-	if u != nil && !now.Before(u.slow) {
+	if u != nil && !u.slowed(now) {
 		return u, true
 	}
-	if guest := t.best(now, pool.far, w, claim{any: len(pool.near) == 0}); guest != nil && (u == nil || !now.Before(guest.slow)) {
+	if guest := t.best(now, pool.far, w, claim{any: len(pool.near) == 0}); guest != nil && (u == nil || !guest.slowed(now)) {
 		return guest, true
 	}
 	return u, u != nil
--- a/jay/jayroute/table_test.go
+++ b/jay/jayroute/table_test.go
@@ -12,7 +12,6 @@
 
 	"jayfield.example/jay/jayconfig"
 	"jayfield.example/jay/jayengine"
-	"jayfield.example/jay/jaylog"
 	"jayfield.example/jay/jayroute"
 	"jayfield.example/jay/jayseed"
 )
@@ -27,15 +26,7 @@
 	for n := range engines {
 		fmt.Fprintf(&b, "[upstream e%d]\naddress = http://127.0.0.1:%d\nregion = r%d\nzone = z\nmodel = m\nslots = %d\n", n, 9000+n, n%2, slots)
 	}
-	publish, err := jayconfig.ParsePublish("test", b.String()+"[route r]\nmodel = m\n")
-	if err != nil {
-		t.Fatal(err)
-	}
-	body, err := publish.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	state, err := jayconfig.NewState().Apply(jaylog.Entry{Record: jaylog.NewWriter("w").Record(jayconfig.RecordPublish, body)})
+	state, err := jayconfig.StateOf("test", b.String()+"[route r]\nmodel = m\n")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/jay/jayroute/upstream.go
+++ b/jay/jayroute/upstream.go
@@ -147,7 +147,7 @@
 		perSlot := float64(u.decode) * u.pace / float64(max(1, u.running))
 		seconds += float64(busy) * perSlot / float64(u.spec.Slots)
 	}
-	if now.Before(u.slow) {
+	if u.slowed(now) {
 		seconds *= 1 + slowRatio
 	}
 	return seconds
--- a/jaybench/internal/jayscale/scale.go
+++ b/jaybench/internal/jayscale/scale.go
@@ -60,26 +60,12 @@
 	return string(b) + "[route r]\nmodel = m\nupstreams = app=a\n"
 }
 
-// state returns the configuration after a publish of a document.
-func state(text string) (*jayconfig.State, error) {
-	publish, err := jayconfig.ParsePublish("scale", text)
-	if err != nil {
-		return nil, errors.Wrap(err, "parse")
-	}
-	body, err := publish.Encode()
-	if err != nil {
-		return nil, errors.Wrap(err, "encode")
-	}
-	record := jaylog.NewWriter("scale").Record(jayconfig.RecordPublish, body)
-	return jayconfig.NewState().Apply(jaylog.Entry{Record: record})
-}
-
 // Decisions measures the time and allocations of one routing decision.
 func Decisions() ([]Series, error) {
 	cost := Series{Name: "routing decision", Of: "known upstreams", Unit: "µs"}
 	allocs := Series{Name: "allocations of a decision", Of: "known upstreams", Unit: ""}
 	for _, size := range []int{12, 414, 12_000} {
-		config, err := state(document(size, 0))
+		config, err := jayconfig.StateOf("scale", document(size, 0))
 		if err != nil {
 			return nil, err
 		}
@@ -120,7 +106,7 @@
 	size := Series{Name: "checkpoint", Of: "objects", Unit: "KB"}
 	for _, objects := range []int{2_000, 8_000, 18_400} {
 		before := inUse()
-		config, err := state(document(objects*2/3, objects/3))
+		config, err := jayconfig.StateOf("scale", document(objects*2/3, objects/3))
 		if err != nil {
 			return nil, err
 		}
