--- /dev/null
+++ b/jay/jayedge/edge.go
@@ -0,0 +1,201 @@
+// Package jayedge wires an instance that relays requests as they are on a
+// platform whose store holds the registry of upstreams and the traffic policy.
+package jayedge
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jayentry"
+	"jayfield.example/jay/jaylink"
+	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jayplace"
+	"jayfield.example/jay/jayrelay"
+	"jayfield.example/jay/jayroster"
+	"jayfield.example/jay/jaystore"
+	"jayfield.example/jay/jaytask"
+	"jayfield.example/jay/jaytraffic"
+)
+
+const (
+	// registryPause is the time between two reads of the registry. Upstreams state
+	// themselves every second or so, and a leaving one must get no new work within 2.5 s.
+	registryPause = 800 * time.Millisecond
+	// sweepPause is the time between two looks at resting connections.
+	sweepPause = time.Second
+	// headerBound bounds the header of a question to the instance itself.
+	headerBound = 5 * time.Second
+	// stopMargin is the part of the grace that is left for the end of the process.
+	stopMargin = 700 * time.Millisecond
+	// answersKept is how many lifetimes some callers keep an answer.
+	answersKept = 3
+	// storeBound bounds the note to the store that the instance leaves.
+	storeBound = time.Second
+)
+
+// Edge is a running instance. Its parts have a done channel each and are
+// stopped in the reverse order of their start.
+type Edge struct {
+	settings Settings
+	self     jaymember.Member
+	log      *slog.Logger
+	metrics  *jaymetric.Set
+	policies *policies
+	placer   *placer
+	budgets  *budgets
+	pool     *jaylink.Pool
+	server   *jayrelay.Server
+	roster   *jayroster.Roster
+	group    *jaytask.Group
+	small    []*http.Server
+	leaving  atomic.Bool
+	members  atomic.Pointer[[]jaymember.Status]
+}
+
+// Start starts an instance and returns once it listens.
+func Start(settings Settings, adapter Adapter, log *slog.Logger) (*Edge, error) {
+	e := &Edge{settings: settings, log: log, metrics: jaymetric.NewSet(log), group: jaytask.NewGroup()}
+	e.self = jaymember.Member{
+		Name: settings.Name, Incarnation: uuid.NewString(), Address: settings.Caller, Peer: settings.Peer,
+		Region: settings.Region, Zone: settings.Zone, Config: -1,
+	}
+	e.members.Store(&[]jaymember.Status{})
+	e.budgets = newBudgets(settings.Budget)
+	e.placer = newPlacer(adapter, jayplace.Place{Zone: settings.Zone, Region: settings.Region}, settings.Regions, log)
+	e.policies = &policies{adapter: adapter, log: log, changed: e.policyChanged}
+	e.pool = jaylink.NewPool(jaylink.NewDialer())
+	store := adapter.Store(settings.Store)
+	if err := e.listen(adapter, store); err != nil {
+		return nil, err
+	}
+	e.follow(store, jaystore.TopicPolicy, e.policies, 0)
+	e.follow(store, jaystore.TopicUpstreams, e.placer, registryPause)
+	e.follow(store, jaystore.TopicMembers, e.roster, 0)
+	e.group.Every(sweepPause, func(context.Context) { e.pool.Sweep(time.Now()) })
+	log.Info("instance started", "instance", e.self.Name, "incarnation", e.self.Incarnation, "zone", e.self.Zone,
+		"caller", settings.Caller, "store", settings.Store)
+	return e, nil
+}
+
+// Entries answers where callers connect.
+func (e *Edge) Entries(q Question) ([]string, time.Duration) {
+	members := append([]jaymember.Status{}, *e.members.Load()...)
+	self := jaymember.Status{Member: e.self}
+	e.State(&self.Member)
+	members = append(members, self)
+	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // A draw needs no secrecy.
+	near := jayentry.Near(q.Region, q.Zone, members, source)
+	addresses := make([]string, 0, len(near))
+	for _, m := range near {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses, e.settings.Lifetime
+}
+
+// Ready reports whether the instance takes callers.
+func (e *Edge) Ready() bool {
+	return !e.leaving.Load() && e.policies.Policy() != nil
+}
+
+// State fills in the changing parts of the own statement.
+func (e *Edge) State(member *jaymember.Member) {
+	member.Leaving = e.leaving.Load()
+	if policy := e.policies.Policy(); policy != nil {
+		member.Config = policy.Version
+	}
+	member.Work = e.placer.own(e.group.Context())
+}
+
+// Stop ends the instance without cutting a request that ends within the grace.
+func (e *Edge) Stop() {
+	began := time.Now()
+	e.leaving.Store(true)
+	e.server.Leave()
+	e.log.Info("instance leaving", "instance", e.self.Name, "grace", e.settings.Grace)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.settings.Grace-stopMargin))
+	defer cancel()
+	told, done := context.WithTimeout(ctx, storeBound)
+	e.roster.Leave(told)
+	done()
+	// Answers that name the instance are used for some lifetimes.
+	kept := min(answersKept*e.settings.Lifetime, e.settings.Grace/2)
+	select {
+	case <-time.After(time.Until(began.Add(kept))):
+	case <-ctx.Done():
+	}
+	e.server.Stop(ctx)
+	for _, server := range e.small {
+		_ = server.Close()
+	}
+	e.roster.Stop()
+	e.group.Stop()
+	e.placer.owner.Stop()
+	e.pool.Close()
+	e.log.Info("instance stopped", "instance", e.self.Name, "took", time.Since(began))
+}
+
+// listen opens all listeners and serves them.
+func (e *Edge) listen(adapter Adapter, store Store) error {
+	relay := jayrelay.New(jayrelay.Parts{
+		Policies: e.policies, Placer: e.placer, Budget: e.budgets, Links: e.pool,
+		Dialect: adapter.Dialect(), Metrics: e.metrics, Log: e.log,
+	})
+	listeners := make(map[string]net.Listener)
+	for _, address := range []string{e.settings.Caller, e.settings.Ready, e.settings.Entry, e.settings.Peer} {
+		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		listeners[address] = listener
+	}
+	e.server = jayrelay.NewServer(listeners[e.settings.Caller], relay, e.log)
+	e.serve(listeners[e.settings.Ready], adapter.ReadyHandler(e.Ready))
+	e.serve(listeners[e.settings.Entry], adapter.EntryHandler(e))
+	e.roster = jayroster.Start(jayroster.Parts{
+		Self: e.self, Source: e, Writer: store, Key: []byte(e.settings.PeerKey),
+		Listener: listeners[e.settings.Peer], Log: e.log, Changed: e.membersChanged,
+	})
+	return nil
+}
+
+// serve serves a listener of the instance itself.
+func (e *Edge) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerBound}
+	e.small = append(e.small, server)
+	e.group.Go(func(context.Context) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			e.log.Error("listener ended", "address", listener.Addr().String(), "error", err)
+		}
+	})
+}
+
+func (e *Edge) follow(store Store, topic jaystore.Topic, consumer jaystore.Consumer, pause time.Duration) {
+	e.group.Go(jaystore.NewFollower(store, topic, consumer, pause, e.log).Run)
+}
+
+// membersChanged takes in what is known of the other instances.
+func (e *Edge) membersChanged(members []jaymember.Status) {
+	e.members.Store(&members)
+	speaking := 1
+	for _, m := range members {
+		if !m.Silent || m.Listed {
+			speaking++
+		}
+	}
+	e.budgets.share(speaking)
+	e.placer.others(members)
+}
+
+// policyChanged takes in a policy that has just come into force.
+func (e *Edge) policyChanged(policy *jaytraffic.Policy) {
+	e.server.Configure(policy.Limits)
+}
--- /dev/null
+++ b/jay/jayedge/settings.go
@@ -0,0 +1,156 @@
+package jayedge
+
+import (
+	"log/slog"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jayini"
+)
+
+// Settings are the settings of an edge instance. They are immutable once read.
+type Settings struct {
+	// Name, Region and Zone say which instance it is and where.
+	Name, Region, Zone string
+	// Caller, Ready, Entry, Peer and Metric are the addresses to listen on.
+	Caller, Ready, Entry, Peer, Metric string
+	// Store is the address of the platform's store.
+	Store string
+	// PeerKey is the secret of the instances.
+	PeerKey string
+	// Lifetime is how long callers may keep entry addresses.
+	Lifetime time.Duration
+	// Grace is the time from the order to stop until the process is killed.
+	Grace time.Duration
+	// Budget bounds the requests that are sent again.
+	Budget Budget
+	// Memory is the memory of the process in MB above which it is killed.
+	Memory int
+	Level  slog.Level
+	// Regions holds the region of each availability zone.
+	Regions map[string]string
+}
+
+// Budget bounds the requests of a service that are sent again in each window,
+// summed over all instances, to a part of the requests and a fixed number.
+type Budget struct {
+	Ratio, Extra float64
+	Window       time.Duration
+}
+
+// Defaults and bounds of settings.
+const (
+	defaultLifetime = time.Second
+	defaultGrace    = 8 * time.Second
+	defaultRatio    = 0.2
+	defaultWindow   = 10 * time.Second
+	defaultMemory   = 256
+	maxExtra        = 100_000
+	leastMemory     = 32
+	maxMemory       = 1 << 20
+	leastKey        = 16
+)
+
+const sectionZone = "zone"
+
+// ReadSettings reads a settings file and checks it.
+func ReadSettings(file string) (Settings, error) {
+	s := Settings{
+		Lifetime: defaultLifetime, Grace: defaultGrace, Memory: defaultMemory,
+		Budget:  Budget{Ratio: defaultRatio, Window: defaultWindow},
+		Regions: make(map[string]string),
+	}
+	text, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return s, errors.WithStack(err)
+	}
+	doc, err := jayini.Parse(file, string(text))
+	if err != nil {
+		return s, err //nolint:wrapcheck // The fault names file and line.
+	}
+	table := s.table()
+	seen := make(map[string]bool)
+	for _, section := range doc.Sections {
+		seen[section.Name] = true
+		if section.Name == sectionZone {
+			for _, key := range section.Keys {
+				s.Regions[key.Name] = key.Value
+			}
+			continue
+		}
+		fields, ok := table[section.Name]
+		if !ok {
+			return s, section.Fault(jayini.KindUnknown, "", "unknown section; accepted: instance, listen, store, key, entry, stop, budget, memory, log, zone")
+		}
+		if err := section.Decode(fields...); err != nil {
+			return s, err //nolint:wrapcheck // The fault names file and line.
+		}
+	}
+	for _, name := range []string{"instance", "listen", "store", "key"} {
+		if !seen[name] {
+			return s, errors.WithStack(&jayini.FaultError{File: file, Section: name, Reason: "section is missing; add it, see docs/OPERATING.md"})
+		}
+	}
+	return s, nil
+}
+
+// table returns the fields of each section, bound to their place in s.
+func (s *Settings) table() map[string][]jayini.Field {
+	return map[string][]jayini.Field{
+		"instance": {
+			jayini.Required(jayini.String("name", &s.Name)),
+			jayini.Required(jayini.String("region", &s.Region)),
+			jayini.Required(jayini.String("zone", &s.Zone)),
+		},
+		"listen": {
+			jayini.Required(address("caller", &s.Caller)),
+			jayini.Required(address("ready", &s.Ready)),
+			jayini.Required(address("entry", &s.Entry)),
+			jayini.Required(address("peer", &s.Peer)),
+			address("metric", &s.Metric),
+		},
+		"store": {jayini.Required(address("address", &s.Store))},
+		"key":   {jayini.Required(key("peer", &s.PeerKey))},
+		"entry": {jayini.Duration("lifetime", &s.Lifetime, 100*time.Millisecond)},
+		"stop":  {jayini.Duration("grace", &s.Grace, time.Second)},
+		"budget": {
+			jayini.Float("ratio", &s.Budget.Ratio, 0, 1),
+			jayini.Float("extra", &s.Budget.Extra, 0, maxExtra),
+			jayini.Duration("window", &s.Budget.Window, time.Second),
+		},
+		"memory": {jayini.Int("limit", &s.Memory, leastMemory, maxMemory)},
+		"log":    {level("level", &s.Level)},
+	}
+}
+
+func address(name string, target *string) jayini.Field {
+	return jayini.Field{Name: name, Set: func(value string) error {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			return errors.Errorf("%q is not an IP address and a port such as 127.0.0.1:7100", value)
+		}
+		*target = value
+		return nil
+	}}
+}
+
+func key(name string, target *string) jayini.Field {
+	return jayini.Field{Name: name, Set: func(value string) error {
+		if len(value) < leastKey {
+			return errors.Errorf("key has %d characters; use %d or more", len(value), leastKey)
+		}
+		*target = value
+		return nil
+	}}
+}
+
+func level(name string, target *slog.Level) jayini.Field {
+	return jayini.Field{Name: name, Set: func(value string) error {
+		if err := target.UnmarshalText([]byte(value)); err != nil {
+			return errors.Errorf("%q is not one of debug, info, warn, error", value)
+		}
+		return nil
+	}}
+}
--- a/jay/jayini/field.go
+++ b/jay/jayini/field.go
@@ -53,6 +53,18 @@
 	}}
 }
 
+// Float returns a field that accepts a number from least to most.
+func Float(name string, target *float64, least, most float64) Field {
+	return Field{Name: name, Set: func(value string) error {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n >= least && n <= most) {
+			return errors.Errorf("%q is not a number from %g to %g", value, least, most)
+		}
+		*target = n
+		return nil
+	}}
+}
+
 // Int returns a field that accepts a whole number from least to most.
 func Int(name string, target *int, least, most int) Field {
 	return Field{Name: name, Set: func(value string) error {
--- /dev/null
+++ b/jay/jaylink/exchange.go
@@ -0,0 +1,149 @@
+package jaylink
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jayerror"
+)
+
+const (
+	// inlineBody is the largest body written before the answer is awaited; longer ones
+	// are written beside, since an upstream may answer before it has read all.
+	inlineBody = 4 << 10
+	// maxForeign bounds the late answers to earlier requests that are skipped.
+	maxForeign = 2
+	// maxForeignBody bounds the body of a late answer in bytes.
+	maxForeignBody = 1 << 20
+)
+
+// Request is a request as it is sent to an upstream.
+type Request struct {
+	Method, Target, Host string
+	Header               http.Header
+	Body                 []byte
+	// Rest is the longest rest of a kept connection that may carry the request.
+	Rest time.Duration
+	// Own reports whether a response answers this request. Late answers to earlier
+	// requests on the connection are skipped.
+	Own func(status int, header http.Header) bool
+}
+
+// Response is an answer whose body is still to be read. Its reader must call
+// Close or Complete once.
+type Response struct {
+	Status int
+	Header http.Header
+	// Body ends with io.EOF only where the answer is whole.
+	Body io.Reader
+	// Length is the announced length in bytes, -1 where none is.
+	Length int64
+
+	pool    *Pool
+	conn    *conn
+	close   bool
+	written <-chan error
+	stop    func() bool
+}
+
+// Exchange sends a request to an address and returns the answer once its
+// header is read. The connection is closed when ctx ends.
+func (p *Pool) Exchange(ctx context.Context, address string, request *Request) (*Response, error) {
+	c, err := p.take(ctx, address, request.Rest)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	written := c.send(request)
+	response, err := c.receive(request)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		if ctx.Err() != nil {
+			return nil, jayerror.Wrap("exchange", KindTime, ctx.Err())
+		}
+		return nil, err
+	}
+	return &Response{
+		Status: response.StatusCode, Header: response.Header, Body: response.Body, Length: response.ContentLength,
+		pool: p, conn: c, close: response.Close, written: written, stop: stop,
+	}, nil
+}
+
+// Close gives up the connection and with it the work of the upstream.
+func (r *Response) Close() {
+	r.stop()
+	_ = r.conn.Close()
+}
+
+// Complete keeps the connection for another request after the body has ended,
+// unless the upstream closes it or has not read the whole request.
+func (r *Response) Complete() {
+	sent := false
+	select {
+	case err := <-r.written:
+		sent = err == nil
+	default:
+	}
+	if !r.stop() || r.close || !sent || r.conn.reader.Buffered() > 0 {
+		_ = r.conn.Close()
+		return
+	}
+	r.pool.rest(r.conn, keep(r.Header))
+}
+
+// send writes the request. The channel has the result once all is written.
+func (c *conn) send(request *Request) <-chan error {
+	written := make(chan error, 1)
+	head := request.head()
+	if len(request.Body) <= inlineBody {
+		_, err := c.Write(append(head, request.Body...))
+		written <- err
+		return written
+	}
+	go func() {
+		_, err := c.Write(append(head, request.Body...))
+		written <- err
+	}()
+	return written
+}
+
+// receive reads headers until one belongs to the request.
+func (c *conn) receive(request *Request) (*http.Response, error) {
+	for range maxForeign + 1 {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		if err != nil {
+			return nil, jayerror.Wrap("receive", KindBroken, err)
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if request.Own == nil || request.Own(response.StatusCode, response.Header) {
+			return response, nil
+		}
+		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody))
+		if err != nil || response.Close {
+			return nil, jayerror.Wrap("receive", KindSpoilt, errors.New("answer to another request"))
+		}
+	}
+	return nil, jayerror.New("receive", KindSpoilt, "too many answers to other requests")
+}
+
+// head returns the request line and the header.
+func (r *Request) head() []byte {
+	var b bytes.Buffer
+	b.Grow(readBuffer + len(r.Body))
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	_ = r.Header.Write(&b) // A buffer takes all.
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -22,6 +22,8 @@
 	Load int `msgpack:"w" json:"load"`
 	// Demand is the work that callers ask of the instance, by model.
 	Demand map[string]Demand `msgpack:"d" json:"demand"`
+	// Work is the instance's own work at each upstream, where it states it.
+	Work map[string]Work `msgpack:"k,omitempty" json:"work,omitempty"`
 	// Sequence grows with each statement of one incarnation.
 	Sequence uint64 `msgpack:"s" json:"sequence"`
 }
@@ -32,6 +34,13 @@
 	Output float64 `msgpack:"o" json:"output"`
 }
 
+// Work is one instance's work at an upstream.
+type Work struct {
+	// Running is a number of requests, Reading prompt tokens that are sent and not read yet.
+	Running int `msgpack:"r" json:"running"`
+	Reading int `msgpack:"p" json:"reading"`
+}
+
 // Plus returns the sum of two demands.
 func (d Demand) Plus(other Demand) Demand {
 	return Demand{Prompt: d.Prompt + other.Prompt, Output: d.Output + other.Output}
--- a/jay/jaypeer/frame.go
+++ b/jay/jaypeer/frame.go
@@ -37,6 +37,8 @@
 const (
 	// TopicDigest exchanges what both sides know of members and load.
 	TopicDigest Topic = "digest"
+	// TopicRoster exchanges what both sides know of instances and their work.
+	TopicRoster Topic = "roster"
 	// TopicSnapshot asks for the configuration above a position.
 	TopicSnapshot Topic = "snapshot"
 	// TopicCall forwards a call to the home of its key.
--- /dev/null
+++ b/jay/jayplace/work.go
@@ -0,0 +1,76 @@
+// Package jayplace decides which upstream serves a request.
+//
+// Completions with a few output tokens are nearly all prompt reading, so the
+// load that it answers is that of prompt tokens: requests that share the start
+// of a prompt meet at one engine, which reads that start once. Plain work goes
+// where it is expected to be complete first. The package is pure: one task
+// owns a Table and gives it the time.
+package jayplace
+
+import (
+	"time"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayfleet"
+)
+
+// Kind classifies a refusal.
+type Kind string
+
+// Kinds of refusals.
+const (
+	// KindNone says that no upstream of the service may take the work.
+	KindNone Kind = "none"
+	// KindLate says that the answer would come after the caller's time.
+	KindLate Kind = "late"
+)
+
+// Error is the error type of the package.
+type Error = jayerror.Error[Kind]
+
+// Work is a request to be placed.
+type Work struct {
+	Service string
+	// Prompt is set for completions; the sizes below are in tokens.
+	Prompt bool
+	// Shared names the part of the prompt that other requests begin with too.
+	Shared string
+	// SharedTokens, OwnTokens and OutputTokens are the sizes of that part, of the rest of
+	// the prompt and of the longest answer.
+	SharedTokens, OwnTokens, OutputTokens int
+	// Target is the time in which an answer is on time, Left what the caller still waits.
+	Target, Left time.Duration
+	// Rank is the rank of the route, 0 the highest.
+	Rank int
+	// Avoid holds the ids of upstreams that the request has been sent to.
+	Avoid map[string]bool
+}
+
+// Choice is where a request goes.
+type Choice struct {
+	// Host gives the answer.
+	Host jayfleet.Upstream
+	// Reader reads the prompt for the host; its ID is empty where the host reads it.
+	Reader jayfleet.Upstream
+	// Priority is the engine's rank for the work, 0 the first.
+	Priority int
+	// Reading is the prompt tokens that are expected to be read, Wait the expected time to
+	// the first token.
+	Reading int
+	Wait    time.Duration
+	// Cached is set where the shared part is believed to be kept.
+	Cached bool
+}
+
+// Apart reports whether another engine reads the prompt.
+func (c Choice) Apart() bool {
+	return c.Reader.ID != ""
+}
+
+// reader returns the upstream that reads the prompt.
+func (c Choice) reader() jayfleet.Upstream {
+	if c.Apart() {
+		return c.Reader
+	}
+	return c.Host
+}
--- /dev/null
+++ b/jay/jayrelay/answer.go
@@ -0,0 +1,84 @@
+package jayrelay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaymetric"
+)
+
+// answerError is a failure with the answer that the caller gets for it.
+type answerError struct {
+	status int
+	// after is when the caller may come back, 0 where that is not known.
+	after time.Duration
+	cause error
+}
+
+// Error returns the cause.
+func (e *answerError) Error() string {
+	return e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *answerError) Unwrap() error {
+	return e.cause
+}
+
+// fail answers with the failure. Where the header is out already the
+// connection is cut, so that the answer does not look complete.
+func (x *exchange) fail(err error) {
+	x.logFailure(err)
+	if jayerror.Is(err, KindGone) {
+		x.metrics.Add(jaymetric.CallerGone, 1)
+		panic(http.ErrAbortHandler)
+	}
+	if x.headed {
+		x.metrics.Add(jaymetric.Failed, 1)
+		panic(http.ErrAbortHandler)
+	}
+	var answer *answerError
+	if !errors.As(err, &answer) {
+		answer = &answerError{status: http.StatusBadGateway, cause: err}
+	}
+	if jayerror.Is(err, KindNotRun) {
+		x.metrics.Add(jaymetric.Refused, 1)
+	} else {
+		x.metrics.Add(jaymetric.Failed, 1)
+	}
+	x.status = answer.status
+	if answer.after > 0 {
+		x.dialect.Refusal(x.writer.Header(), answer.after)
+	}
+	http.Error(x.writer, answer.cause.Error(), answer.status)
+}
+
+// logFailure writes the line of a request that got no upstream's answer.
+func (x *exchange) logFailure(err error) {
+	x.log.Info("request not served",
+		"request", x.call.ID, "route", x.route.Name, "service", x.service, "policy", x.version,
+		"runs", x.runs, "sends", x.sends, "took", time.Since(x.began), "left", time.Until(x.deadline), "error", err)
+}
+
+// malformed returns the failure of a request that no upstream gets.
+func (x *exchange) malformed(status int, cause error) error {
+	return jayerror.Wrap("admit", KindRequest, &answerError{status: status, cause: cause})
+}
+
+// refusal returns the failure of a request that did not run and will not.
+func (x *exchange) refusal(status int, after time.Duration, reason string) error {
+	return jayerror.Wrap("refuse", KindNotRun, &answerError{status: status, after: after, cause: errors.New(reason)})
+}
+
+// unknown returns the failure of a request that may have run.
+func (x *exchange) unknown(cause error) error {
+	return jayerror.Wrap("relay", KindUnknown, &answerError{status: http.StatusBadGateway, cause: cause})
+}
+
+// overdue returns the failure of a request whose time ended after it was sent.
+func (x *exchange) overdue(cause error) error {
+	return jayerror.Wrap("relay", KindTime, &answerError{status: http.StatusGatewayTimeout, cause: cause})
+}
--- /dev/null
+++ b/jay/jayrelay/event.go
@@ -0,0 +1,58 @@
+package jayrelay
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// maxEvent bounds one event in bytes.
+const maxEvent = 1 << 20
+
+// event is one event of a stream as it came, with its id.
+type event struct {
+	data []byte
+	// id is -1 where the event has none.
+	id int64
+}
+
+// eventReader reads the events of a stream (WHATWG HTML, server-sent events).
+type eventReader struct {
+	source *bufio.Reader
+}
+
+func newEventReader(source io.Reader) *eventReader {
+	return &eventReader{source: bufio.NewReader(source)}
+}
+
+// next returns the next whole event. It returns io.EOF where the stream ended
+// between two events, and io.ErrUnexpectedEOF where it ended within one.
+func (r *eventReader) next() (event, error) {
+	e := event{id: -1}
+	for {
+		line, err := r.source.ReadBytes('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(e.data)+len(line) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return event{}, err //nolint:wrapcheck // io.EOF is part of the contract.
+		}
+		if e.data = append(e.data, line...); len(e.data) > maxEvent {
+			return event{}, errors.Errorf("event is larger than %d bytes", maxEvent)
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			return e, nil
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			if err != nil {
+				return event{}, errors.Errorf("event id %q is not a number", value)
+			}
+			e.id = id
+		}
+	}
+}
--- /dev/null
+++ b/jay/jayrelay/stream.go
@@ -0,0 +1,198 @@
+package jayrelay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jaylink"
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jayplace"
+)
+
+// serveStream serves a request whose answer is a series of events. Where the
+// route allows it, a stream that breaks off goes on at another upstream within
+// the same answer.
+func (x *exchange) serveStream(ctx context.Context) {
+	x.budget.Earn(x.service)
+	s := &stream{exchange: x, after: x.call.After}
+	for {
+		f := s.attempt(ctx)
+		if f == nil {
+			x.metrics.Add(jaymetric.Completed, 1)
+			return
+		}
+		if err := x.again(ctx, f); err != nil {
+			x.fail(err)
+			return
+		}
+	}
+}
+
+// stream is the answer of a streaming request as far as it has come.
+type stream struct {
+	*exchange
+	// after is the id of the last event that the caller has, last the same as a number.
+	after string
+	last  int64
+	// any is set once the caller has an event of this answer.
+	any bool
+}
+
+// attempt places the request and passes on what its upstream gives. It
+// returns nil once the caller has the whole answer.
+func (s *stream) attempt(ctx context.Context) *failure {
+	w := s.work(time.Now())
+	choice, err := s.placer.Choose(ctx, w)
+	if err != nil {
+		return &failure{cause: err, outcome: jayplace.OutcomeRefused}
+	}
+	s.placer.Reading(choice)
+	read := false
+	done := func(ok bool) {
+		if !read {
+			read = true
+			s.placer.Read(choice, w.Shared, ok)
+		}
+	}
+	defer done(false)
+	send := Send{Priority: choice.Priority, After: s.after}
+	if !w.Prompt {
+		send.Priority = -1
+	}
+	if choice.Apart() {
+		kv, f := s.readApart(ctx, choice)
+		if f != nil {
+			return f
+		}
+		done(true)
+		send.Source = choice.Reader.Address + "/" + kv.Handle
+		defer func() {
+			if send.Source != "" {
+				go s.release(choice.Reader, kv)
+			}
+		}()
+	}
+	answer, f := s.send(ctx, choice.Host, send)
+	if f != nil {
+		return f
+	}
+	send.Source = ""
+	return s.relay(ctx, answer, func() { done(true) })
+}
+
+// relay passes an answer on, event by event.
+func (s *stream) relay(ctx context.Context, a *sent, first func()) *failure {
+	if a.Status != http.StatusOK {
+		return s.passError(ctx, a)
+	}
+	s.head(a)
+	reader := newEventReader(a.Body)
+	for {
+		e, err := reader.next()
+		if errors.Is(err, io.EOF) {
+			a.Complete()
+			s.end(a, jayplace.OutcomeServed)
+			return nil
+		}
+		if err != nil {
+			a.Close()
+			f := s.broken(ctx, err)
+			s.end(a, f.outcome)
+			return f
+		}
+		first()
+		if err := s.passEvent(e); err != nil {
+			a.Close()
+			s.end(a, jayplace.OutcomeGone)
+			return &failure{cause: jayerror.Wrap("pass", KindGone, err), ran: true, outcome: jayplace.OutcomeGone}
+		}
+	}
+}
+
+// head gives the caller the header of the first answer; later ones go on within it.
+func (s *stream) head(a *sent) {
+	if s.headed {
+		return
+	}
+	copyHeader(s.writer.Header(), a.Header)
+	s.headed, s.status = true, a.Status
+	s.writer.WriteHeader(a.Status)
+}
+
+// passError gives the caller an upstream's error answer.
+func (s *stream) passError(ctx context.Context, a *sent) *failure {
+	body, f := s.whole(ctx, a)
+	if f != nil {
+		return f
+	}
+	if s.headed {
+		return &failure{cause: errors.Errorf("upstream failed with %d", a.Status), ran: true, outcome: jayplace.OutcomeFailed}
+	}
+	s.pass(a, body)
+	return nil
+}
+
+// passEvent writes an event that the caller does not have yet.
+func (s *stream) passEvent(e event) error {
+	if e.id >= 0 {
+		if s.any && e.id <= s.last {
+			return nil
+		}
+		s.last, s.after, s.any = e.id, strconv.FormatInt(e.id, 10), true
+	}
+	if _, err := s.writer.Write(e.data); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(http.NewResponseController(s.writer).Flush())
+}
+
+// readApart has an engine read the prompt and keep its KV cache for the host.
+func (s *stream) readApart(ctx context.Context, c jayplace.Choice) (KV, *failure) {
+	if s.reads++; s.reads > 1 && !s.budget.Spend(s.service) {
+		return KV{}, &failure{cause: errors.New("retry budget is spent"), outcome: jayplace.OutcomeRefused}
+	}
+	answer, f := s.send(ctx, c.Reader, Send{Priority: c.Priority, ReadOnly: true})
+	if f != nil {
+		// A prompt that may have been read has not run.
+		f.ran = false
+		return KV{}, f
+	}
+	s.sends--
+	body, f := s.whole(ctx, answer)
+	if f != nil {
+		f.ran = false
+		return KV{}, f
+	}
+	kv, err := s.dialect.Handle(body)
+	if err != nil || answer.Status != http.StatusOK {
+		return KV{}, &failure{cause: errors.Errorf("prompt not read: status %d, %v", answer.Status, err), outcome: jayplace.OutcomeFailed}
+	}
+	s.metrics.Add(jaymetric.Prefills, 1)
+	return kv, nil
+}
+
+// releaseBound bounds the call that frees a KV cache.
+const releaseBound = 2 * time.Second
+
+// release frees a KV cache that no host will fetch.
+func (s *stream) release(reader jayfleet.Upstream, kv KV) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseBound)
+	defer cancel()
+	method, target := s.dialect.Release(kv.Handle)
+	request := &jaylink.Request{Method: method, Target: target, Host: reader.Address, Header: make(http.Header), Rest: anyRest}
+	response, err := s.links.Exchange(ctx, reader.Address, request)
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+		response.Complete()
+	}
+	if err != nil {
+		s.log.Warn("KV cache not released", "request", s.call.ID, "upstream", reader.ID, "handle", kv.Handle, "error", err)
+	}
+}
--- /dev/null
+++ b/jay/jaystore/follower.go
@@ -0,0 +1,113 @@
+package jaystore
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"jayfield.example/jay/jayerror"
+)
+
+const (
+	// firstRetry and lastRetry bound the pause after a failed call; each failure doubles it.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+)
+
+// Consumer takes in what a follower reads. Calls come one after the other.
+type Consumer interface {
+	// Replace takes in the newest records of all keys, complete up to an offset.
+	Replace(ctx context.Context, records []Record, end int64)
+	// Apply takes in records in their order.
+	Apply(ctx context.Context, records []Record)
+	// Lost and Returned tell that the store stopped answering and answers again.
+	Lost(ctx context.Context, err error)
+	Returned(ctx context.Context)
+}
+
+// Follower reads a topic from its newest records on.
+type Follower struct {
+	reader   Reader
+	topic    Topic
+	consumer Consumer
+	log      *slog.Logger
+	// pause is the time between two reads; 0 has the store hold each read until there is a record.
+	pause time.Duration
+	next  int64
+	lost  bool
+	retry time.Duration
+}
+
+// NewFollower returns a follower that reads each pause, or waits at the store where pause is 0.
+func NewFollower(reader Reader, topic Topic, consumer Consumer, pause time.Duration, log *slog.Logger) *Follower {
+	return &Follower{reader: reader, topic: topic, consumer: consumer, log: log, pause: pause, next: -1, retry: firstRetry}
+}
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.pause
+		if err := f.step(ctx); err != nil {
+			pause = f.failed(ctx, err)
+		} else {
+			f.succeeded(ctx)
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// step reads the newest records where the position is not known, and else what follows it.
+func (f *Follower) step(ctx context.Context) error {
+	if f.next < 0 {
+		records, end, err := f.reader.Newest(ctx, f.topic)
+		if err != nil {
+			return err //nolint:wrapcheck // The adapter returns errors of this package.
+		}
+		f.consumer.Replace(ctx, records, end)
+		f.next = end
+		return nil
+	}
+	records, next, err := f.reader.Read(ctx, f.topic, f.next, f.pause == 0)
+	if err != nil {
+		return err //nolint:wrapcheck // The adapter returns errors of this package.
+	}
+	if len(records) > 0 {
+		f.consumer.Apply(ctx, records)
+	}
+	f.next = next
+	return nil
+}
+
+// failed takes in a failed call and returns the pause before the next.
+func (f *Follower) failed(ctx context.Context, err error) time.Duration {
+	if ctx.Err() != nil {
+		return 0
+	}
+	if jayerror.Is(err, KindExpired) {
+		f.log.Warn("store history expired; reading the newest records", "topic", f.topic, "offset", f.next)
+		f.next = -1
+		return 0
+	}
+	if !f.lost {
+		f.lost = true
+		f.log.Warn("store lost", "topic", f.topic, "offset", f.next, "error", err)
+		f.consumer.Lost(ctx, err)
+	}
+	pause := f.retry/2 + rand.N(f.retry/2) //nolint:gosec // Jitter needs no secrecy.
+	f.retry = min(2*f.retry, lastRetry)
+	return pause
+}
+
+func (f *Follower) succeeded(ctx context.Context) {
+	f.retry = firstRetry
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.log.Info("store regained", "topic", f.topic, "offset", f.next)
+	f.consumer.Returned(ctx)
+}
--- a/jaybench/internal/jaycommand/costcmd.go
+++ b/jaybench/internal/jaycommand/costcmd.go
@@ -11,7 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
-	"jayfield.example/jaybench.bin/internal/jaycost"
+	"jayfield.example/jaybench/internal/jaycost"
 )
 
 // costFlags are the flags of the cost command.
--- a/jaybench/internal/jaycommand/democmd.go
+++ b/jaybench/internal/jaycommand/democmd.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jaysite"
-	"jayfield.example/jaybench.bin/internal/jaydemo"
+	"jayfield.example/jaybench/internal/jaydemo"
 )
 
 // demoBound bounds the demonstration.
--- a/jaybench/internal/jaycommand/dutycmd.go
+++ b/jaybench/internal/jaycommand/dutycmd.go
@@ -8,7 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
-	"jayfield.example/jaybench.bin/internal/jayduty"
+	"jayfield.example/jaybench/internal/jayduty"
 )
 
 // duty returns the command that measures appends and orders.
--- a/jaybench/internal/jaycommand/plotcmd.go
+++ b/jaybench/internal/jaycommand/plotcmd.go
@@ -8,7 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
-	"jayfield.example/jaybench.bin/internal/jayexperiment"
+	"jayfield.example/jaybench/internal/jayexperiment"
 )
 
 // plot returns the command that draws the results of an experiment.
--- a/jaybench/internal/jaycommand/publishcmd.go
+++ b/jaybench/internal/jaycommand/publishcmd.go
@@ -9,7 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
-	"jayfield.example/jaybench.bin/internal/jaypublish"
+	"jayfield.example/jaybench/internal/jaypublish"
 )
 
 // publishFlags are the flags of the publish command.
--- a/jaybench/internal/jaycommand/runcmd.go
+++ b/jaybench/internal/jaycommand/runcmd.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jayroute"
-	"jayfield.example/jaybench.bin/internal/jayexperiment"
+	"jayfield.example/jaybench/internal/jayexperiment"
 )
 
 // runFlags are the flags of the run command.
--- a/jaybench/internal/jaycommand/scalecmd.go
+++ b/jaybench/internal/jaycommand/scalecmd.go
@@ -9,7 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
-	"jayfield.example/jaybench.bin/internal/jayscale"
+	"jayfield.example/jaybench/internal/jayscale"
 )
 
 // scale returns the command that measures how costs grow with the fleet.
--- a/jaybench/internal/jaycost/measure.go
+++ b/jaybench/internal/jaycost/measure.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"jayfield.example/jaybench.bin/internal/jaymeasure"
+	"jayfield.example/jaybench/internal/jaymeasure"
 )
 
 const (
--- a/jaybench/internal/jayduty/orders.go
+++ b/jaybench/internal/jayduty/orders.go
@@ -16,7 +16,7 @@
 	"jayfield.example/jay/jayclient"
 	"jayfield.example/jay/jaylog"
 	"jayfield.example/jay/jaysite"
-	"jayfield.example/jaybench.bin/internal/jaymeasure"
+	"jayfield.example/jaybench/internal/jaymeasure"
 )
 
 const (
--- a/jaybench/internal/jayexperiment/outcome.go
+++ b/jaybench/internal/jayexperiment/outcome.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"jayfield.example/jaybench.bin/internal/jaymeasure"
+	"jayfield.example/jaybench/internal/jaymeasure"
 )
 
 // Status is what became of a request.
--- a/jaybench/internal/jayexperiment/trial.go
+++ b/jaybench/internal/jayexperiment/trial.go
@@ -18,7 +18,7 @@
 	"jayfield.example/jay/jayroute"
 	"jayfield.example/jay/jaysite"
 	"jayfield.example/jay/jaystandin"
-	"jayfield.example/jaybench.bin/internal/jaydelay"
+	"jayfield.example/jaybench/internal/jaydelay"
 )
 
 // Sizes of both users' sites today.
--- a/jaybench/internal/jaypublish/publish.go
+++ b/jaybench/internal/jaypublish/publish.go
@@ -16,7 +16,7 @@
 	"jayfield.example/jay/jaysetting"
 	"jayfield.example/jay/jaysite"
 	"jayfield.example/jay/jaystandin"
-	"jayfield.example/jaybench.bin/internal/jaymeasure"
+	"jayfield.example/jaybench/internal/jaymeasure"
 )
 
 const (
--- a/jaybench/internal/jayscale/scale.go
+++ b/jaybench/internal/jayscale/scale.go
@@ -21,7 +21,7 @@
 	"jayfield.example/jay/jaymesh"
 	"jayfield.example/jay/jayroute"
 	"jayfield.example/jay/jaysite"
-	"jayfield.example/jaybench.bin/internal/jaymeasure"
+	"jayfield.example/jaybench/internal/jaymeasure"
 )
 
 // Point is one measured value at a size.
--- a/jaybench/main.go
+++ b/jaybench/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"jayfield.example/jaybench.bin/internal/jaycommand"
+	"jayfield.example/jaybench/internal/jaycommand"
 )
 
 func main() {
--- a/jayfield/internal/jaycommand/examples_test.go
+++ b/jayfield/internal/jaycommand/examples_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"jayfield.example/jayfield.bin/internal/jaycommand"
+	"jayfield.example/jayfield/internal/jaycommand"
 )
 
 // The example configuration is valid.
--- a/jayfield/internal/jaycommand/main_test.go
+++ b/jayfield/internal/jaycommand/main_test.go
@@ -10,7 +10,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"jayfield.example/jay/jaysite"
-	"jayfield.example/jayfield.bin/internal/jaycommand"
+	"jayfield.example/jayfield/internal/jaycommand"
 )
 
 func TestMain(m *testing.M) {
--- a/jayfield/main.go
+++ b/jayfield/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"jayfield.example/jayfield.bin/internal/jaycommand"
+	"jayfield.example/jayfield/internal/jaycommand"
 )
 
 func main() {
--- a/jayfieldd/internal/jaydaemon/dump_test.go
+++ b/jayfieldd/internal/jaydaemon/dump_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"jayfield.example/jayfieldd.bin/internal/jaydaemon"
+	"jayfield.example/jayfieldd/internal/jaydaemon"
 )
 
 // output collects what a daemon writes. It is safe for concurrent use.
--- a/jayfieldd/internal/jaydaemon/examples_test.go
+++ b/jayfieldd/internal/jaydaemon/examples_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"testing"
 
-	"jayfield.example/jayfieldd.bin/internal/jaydaemon"
+	"jayfield.example/jayfieldd/internal/jaydaemon"
 )
 
 // The example settings run as they are.
--- a/jayfieldd/internal/jaydaemon/main.go
+++ b/jayfieldd/internal/jaydaemon/main.go
@@ -25,8 +25,14 @@
 	statusSettings = 2
 )
 
+// commandEdge runs an instance that relays requests on the users' platform.
+const commandEdge = "edge"
+
 // Main runs the daemon with its arguments and returns the exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == commandEdge {
+		return edgeMain(args[1:], stdout, stderr)
+	}
 	settings, arguments, err := jaysetting.Read(args, stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return statusOK
--- a/jayfieldd/internal/jaydaemon/main_test.go
+++ b/jayfieldd/internal/jaydaemon/main_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"jayfield.example/jayfieldd.bin/internal/jaydaemon"
+	"jayfield.example/jayfieldd/internal/jaydaemon"
 )
 
 func TestMain(m *testing.M) {
--- a/jayfieldd/main.go
+++ b/jayfieldd/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"jayfield.example/jayfieldd.bin/internal/jaydaemon"
+	"jayfield.example/jayfieldd/internal/jaydaemon"
 )
 
 func main() {
