--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -71,7 +71,8 @@
 		f.next = end
 		return nil
 	}
-	records, next, err := f.reader.Read(ctx, f.topic, f.next, f.pause == 0)
+	// A store that was lost is asked without waiting: a read that it held before may never be answered.
+	records, next, err := f.reader.Read(ctx, f.topic, f.next, f.pause == 0 && !f.lost)
 	if err != nil {
 		return err //nolint:wrapcheck // The adapter returns errors of this package.
 	}
--- /dev/null
+++ b/jay/jaystore/follower_test.go
@@ -0,0 +1,120 @@
+package jaystore_test
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaystore"
+)
+
+// answer is what a scripted reader gives for one call.
+type answer struct {
+	records []jaystore.Record
+	next    int64
+	err     error
+}
+
+// reader answers by a script and notes the calls; it ends the test's context after the last.
+type reader struct {
+	script []answer
+	calls  []string
+	end    context.CancelFunc
+}
+
+func (r *reader) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+	return r.answer("newest")
+}
+
+func (r *reader) Read(_ context.Context, _ jaystore.Topic, _ int64, wait bool) ([]jaystore.Record, int64, error) {
+	if wait {
+		return r.answer("wait")
+	}
+	return r.answer("read")
+}
+
+func (r *reader) answer(call string) ([]jaystore.Record, int64, error) {
+	r.calls = append(r.calls, call)
+	a := r.script[0]
+	if r.script = r.script[1:]; len(r.script) == 0 {
+		r.end()
+	}
+	return a.records, a.next, a.err
+}
+
+// consumer notes what it is given.
+type consumer struct {
+	seen []string
+}
+
+func (c *consumer) Replace(_ context.Context, records []jaystore.Record, _ int64) {
+	c.note("replace", records)
+}
+
+func (c *consumer) Apply(_ context.Context, records []jaystore.Record) {
+	c.note("apply", records)
+}
+
+func (c *consumer) Lost(context.Context, error) {
+	c.seen = append(c.seen, "lost")
+}
+
+func (c *consumer) Returned(context.Context) {
+	c.seen = append(c.seen, "returned")
+}
+
+func (c *consumer) note(what string, records []jaystore.Record) {
+	for _, record := range records {
+		what += " " + record.Key
+	}
+	c.seen = append(c.seen, what)
+}
+
+func TestFollower(t *testing.T) {
+	down := jayerror.New("read", jaystore.KindUnavailable, "no answer")
+	expired := jayerror.New("read", jaystore.KindExpired, "gone")
+	a, b := []jaystore.Record{{Key: "a"}}, []jaystore.Record{{Key: "b"}}
+	tests := map[string]struct {
+		script []answer
+		calls  []string
+		seen   []string
+	}{
+		"newest, then what follows": {
+			script: []answer{{records: a, next: 1}, {records: b, next: 2}, {next: 2}},
+			calls:  []string{"newest", "wait", "wait"},
+			seen:   []string{"replace a", "apply b"},
+		},
+		"a lost store is asked without waiting": {
+			script: []answer{{records: a, next: 1}, {err: down}, {err: down}, {records: b, next: 2}, {next: 2}},
+			calls:  []string{"newest", "wait", "read", "read", "wait"},
+			seen:   []string{"replace a", "lost", "apply b", "returned"},
+		},
+		"expired history is read anew": {
+			script: []answer{{records: a, next: 1}, {err: expired}, {records: b, next: 9}},
+			calls:  []string{"newest", "wait", "newest"},
+			seen:   []string{"replace a", "replace b"},
+		},
+		"lost from the start": {
+			script: []answer{{err: down}, {records: a, next: 1}},
+			calls:  []string{"newest", "newest"},
+			seen:   []string{"lost", "replace a", "returned"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			r, c := &reader{script: test.script, end: cancel}, &consumer{}
+			jaystore.NewFollower(r, jaystore.TopicPolicy, c, 0, slog.New(slog.DiscardHandler)).Run(ctx)
+			if !slices.Equal(r.calls, test.calls) {
+				t.Errorf("calls = %q, want %q", r.calls, test.calls)
+			}
+			if !slices.Equal(c.seen, test.seen) {
+				t.Errorf("seen = %q, want %q", c.seen, test.seen)
+			}
+		})
+	}
+}
