--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -77,6 +77,17 @@
 	p.tell(context.Background(), func(b *beliefs) { b.table.Heard(time.Now(), id, load) })
 }
 
+// Host returns who gives the answer to a prompt that a reader has read.
+func (p *placer) Host(ctx context.Context, w jayplace.Work, reader jayfleet.Upstream) (jayfleet.Upstream, error) {
+	var host jayfleet.Upstream
+	var failed error
+	err := p.owner.Ask(ctx, func(b *beliefs) { host, failed = b.table.Host(time.Now(), w, reader) })
+	if err != nil {
+		return host, err //nolint:wrapcheck // The task has stopped or the caller left.
+	}
+	return host, failed //nolint:wrapcheck // The relay judges the kind.
+}
+
 // Lost notes that the registry cannot be read.
 func (p *placer) Lost(ctx context.Context, _ error) {
 	p.tell(ctx, func(b *beliefs) { b.fleet.Lost() })
--- a/jay/jayplace/home.go
+++ b/jay/jayplace/home.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jayfleet"
 )
 
@@ -20,25 +21,26 @@
 	keepTrust = 30 * time.Second
 )
 
-// choosePrompt returns the home of the work's shared part, and a decode engine
-// near it where the home only reads prompts.
-func (t *Table) choosePrompt(now time.Time, candidates []*upstream, w Work) (Choice, error) {
+// choosePrompt returns the home of the work's shared part.
+func (t *Table) choosePrompt(now time.Time, candidates []*upstream, w Work) Choice {
 	home := t.home(candidates, w)
-	choice := Choice{Host: home.spec, Cached: home.keeps(now, w.Shared)}
+	choice := Choice{Upstream: home.spec, Apart: home.spec.Stage == jayfleet.StagePrefill, Cached: home.keeps(now, w.Shared)}
 	choice.Reading = w.OwnTokens
 	if !choice.Cached {
 		choice.Reading += w.SharedTokens
 	}
 	choice.Priority = priority(choice.Reading)
-	if home.spec.Stage != jayfleet.StagePrefill {
-		return choice, nil
-	}
-	host := t.partner(now, candidates, home)
+	return choice
+}
+
+// Host returns the decode engine that takes the KV cache of a prompt from its
+// reader and gives the answer.
+func (t *Table) Host(now time.Time, w Work, reader jayfleet.Upstream) (jayfleet.Upstream, error) {
+	host := t.partner(now, t.candidates(now, w), reader)
 	if host == nil {
-		return Choice{}, noHost()
+		return jayfleet.Upstream{}, jayerror.New("host", KindNone, "no engine gives answers")
 	}
-	choice.Reader, choice.Host = home.spec, host.spec
-	return choice, nil
+	return host.spec, nil
 }
 
 // home returns the candidate with the highest weighted rendezvous score for
@@ -56,7 +58,7 @@
 
 // partner returns the decode engine that takes the KV cache from a reader:
 // the least busy one of the reader's zone, or of all.
-func (t *Table) partner(now time.Time, candidates []*upstream, reader *upstream) *upstream {
+func (t *Table) partner(now time.Time, candidates []*upstream, reader jayfleet.Upstream) *upstream {
 	var best *upstream
 	least := math.Inf(1)
 	for _, u := range candidates {
@@ -64,7 +66,7 @@
 			continue
 		}
 		cost := float64(u.busy(now)) + float64(u.queued())/tokensPerSlot
-		if u.spec.Zone != reader.spec.Zone {
+		if u.spec.Zone != reader.Zone {
 			cost += farPartner
 		}
 		if cost < least {
--- a/jay/jayplace/table.go
+++ b/jay/jayplace/table.go
@@ -63,7 +63,7 @@
 		return Choice{}, jayerror.Newf("choose", KindNone, "none of the %d upstreams of the service takes work", len(t.services[w.Service]))
 	}
 	if w.Prompt {
-		return t.choosePrompt(now, candidates, w)
+		return t.choosePrompt(now, candidates, w), nil
 	}
 	return t.choosePlain(now, candidates), nil
 }
@@ -98,7 +98,7 @@
 			best, least = u, wait
 		}
 	}
-	return Choice{Host: best.spec, Wait: least}
+	return Choice{Upstream: best.spec, Wait: least}
 }
 
 // distance returns the time of a round trip to a zone.
--- a/jay/jayplace/track.go
+++ b/jay/jayplace/track.go
@@ -3,14 +3,9 @@
 import (
 	"time"
 
-	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaymember"
 )
 
-func noHost() error {
-	return jayerror.New("choose", KindNone, "no engine gives answers")
-}
-
 // End takes in how a request ended at its upstream. It reports whether the
 // upstream was ejected for it.
 func (t *Table) End(now time.Time, id string, outcome Outcome, took time.Duration, prompt bool) bool {
@@ -56,7 +51,7 @@
 
 // Read notes that the prompt of a choice has been read, or that its reading ended.
 func (t *Table) Read(now time.Time, c Choice, shared string, done bool) {
-	u, ok := t.upstreams[c.reader().ID]
+	u, ok := t.upstreams[c.Upstream.ID]
 	if !ok {
 		return
 	}
@@ -68,7 +63,7 @@
 
 // Reading notes that the prompt of a choice is sent to be read.
 func (t *Table) Reading(c Choice) {
-	if u, ok := t.upstreams[c.reader().ID]; ok {
+	if u, ok := t.upstreams[c.Upstream.ID]; ok {
 		u.reading += c.Reading
 	}
 }
--- a/jay/jayplace/work.go
+++ b/jay/jayplace/work.go
@@ -48,10 +48,11 @@
 
 // Choice is where a request goes.
 type Choice struct {
-	// Host gives the answer.
-	Host jayfleet.Upstream
-	// Reader reads the prompt for the host; its ID is empty where the host reads it.
-	Reader jayfleet.Upstream
+	// Upstream gets the request first.
+	Upstream jayfleet.Upstream
+	// Apart is set where the upstream only reads the prompt, for a host that is chosen
+	// once it has been read.
+	Apart bool
 	// Priority is the engine's rank for the work, 0 the first.
 	Priority int
 	// Reading is the prompt tokens that are expected to be read, Wait the expected time to
@@ -61,16 +62,3 @@
 	// Cached is set where the shared part is believed to be kept.
 	Cached bool
 }
-
-// Apart reports whether another engine reads the prompt.
-func (c Choice) Apart() bool {
-	return c.Reader.ID != ""
-}
-
-// reader returns the upstream that reads the prompt.
-func (c Choice) reader() jayfleet.Upstream {
-	if c.Apart() {
-		return c.Reader
-	}
-	return c.Host
-}
--- a/jay/jayrelay/plain.go
+++ b/jay/jayrelay/plain.go
@@ -25,7 +25,7 @@
 			x.fail(x.giveUp(err))
 			return
 		}
-		answer, f := x.send(ctx, choice.Host, Send{Priority: -1, After: x.call.After})
+		answer, f := x.send(ctx, choice.Upstream, Send{Priority: -1, After: x.call.After})
 		var body []byte
 		if f == nil {
 			body, f = x.whole(ctx, answer)
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayfleet"
 	"jayfield.example/jay/jaylink"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jayplace"
@@ -32,6 +33,8 @@
 // Placer decides where requests go and is told what became of them.
 type Placer interface {
 	Choose(ctx context.Context, w jayplace.Work) (jayplace.Choice, error)
+	// Host returns who gives the answer to a prompt that a reader has read.
+	Host(ctx context.Context, w jayplace.Work, reader jayfleet.Upstream) (jayfleet.Upstream, error)
 	// Reading and Read frame the reading of a choice's prompt.
 	Reading(c jayplace.Choice)
 	Read(c jayplace.Choice, shared string, done bool)
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -26,6 +26,7 @@
 		f := s.attempt(ctx)
 		if f == nil {
 			x.metrics.Add(jaymetric.Completed, 1)
+			s.logServed()
 			return
 		}
 		if err := x.again(ctx, f); err != nil {
@@ -41,8 +42,13 @@
 	// after is the id of the last event that the caller has, last the same as a number.
 	after string
 	last  int64
-	// any is set once the caller has an event of this answer.
-	any bool
+	// any is set once the caller has an event of this answer, first is how long that took.
+	any      bool
+	first    time.Duration
+	numbered bool
+	// choice and host are where the present attempt runs.
+	choice jayplace.Choice
+	host   jayfleet.Upstream
 }
 
 // attempt places the request and passes on what its upstream gives. It
@@ -66,27 +72,40 @@
 	if !w.Prompt {
 		send.Priority = -1
 	}
-	if choice.Apart() {
+	host := choice.Upstream
+	if choice.Apart {
 		kv, f := s.readApart(ctx, choice)
 		if f != nil {
 			return f
 		}
 		done(true)
-		send.Source = choice.Reader.Address + "/" + kv.Handle
+		send.Source = choice.Upstream.Address + "/" + kv.Handle
 		defer func() {
 			if send.Source != "" {
-				go s.release(choice.Reader, kv)
+				go s.release(choice.Upstream, kv)
 			}
 		}()
+		if host, err = s.placer.Host(ctx, s.work(time.Now()), choice.Upstream); err != nil {
+			return &failure{cause: err, outcome: jayplace.OutcomeRefused}
+		}
 	}
-	answer, f := s.send(ctx, choice.Host, send)
+	answer, f := s.send(ctx, host, send)
 	if f != nil {
 		return f
 	}
 	send.Source = ""
+	s.choice, s.host = choice, host
 	return s.relay(ctx, answer, func() { done(true) })
 }
 
+// logServed writes the line of a stream that the caller has whole.
+func (s *stream) logServed() {
+	s.log.Info("request served", "request", s.call.ID, "route", s.route.Name, "service", s.service, "policy", s.version,
+		"upstream", s.choice.Upstream.ID, "apart", s.choice.Apart, "host", s.host.ID, "cached", s.choice.Cached,
+		"reading", s.choice.Reading, "priority", s.choice.Priority, "wait", s.choice.Wait, "sends", s.sends,
+		"first", s.first, "target", s.route.Target, "took", time.Since(s.began))
+}
+
 // relay passes an answer on, event by event.
 func (s *stream) relay(ctx context.Context, a *sent, first func()) *failure {
 	if a.Status != http.StatusOK {
@@ -141,11 +160,14 @@
 
 // passEvent writes an event that the caller does not have yet.
 func (s *stream) passEvent(e event) error {
+	if !s.any {
+		s.any, s.first = true, time.Since(s.began)
+	}
 	if e.id >= 0 {
-		if s.any && e.id <= s.last {
+		if s.numbered && e.id <= s.last {
 			return nil
 		}
-		s.last, s.after, s.any = e.id, strconv.FormatInt(e.id, 10), true
+		s.last, s.after, s.numbered = e.id, strconv.FormatInt(e.id, 10), true
 	}
 	if _, err := s.writer.Write(e.data); err != nil {
 		return errors.WithStack(err)
@@ -158,7 +180,7 @@
 	if s.reads++; s.reads > 1 && !s.budget.Spend(s.service) {
 		return KV{}, &failure{cause: errors.New("retry budget is spent"), outcome: jayplace.OutcomeRefused}
 	}
-	answer, f := s.send(ctx, c.Reader, Send{Priority: c.Priority, ReadOnly: true})
+	answer, f := s.send(ctx, c.Upstream, Send{Priority: c.Priority, ReadOnly: true})
 	if f != nil {
 		// A prompt that may have been read has not run.
 		f.ran = false
