Tell each other which prompt parts are kept, rank by what is really read

Cause: six of seven instances took kept parts for unread ones, so that ranks by size were wrong by a factor of five, and parts that a restart or a new home lacked were read anew. Change: instances state readings of the last second; ranks go by them; an engine without a part fetches it from one that keeps it.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -89,9 +89,9 @@
 // Entries answers where callers connect.
 func (e *Edge) Entries(q Question) ([]string, time.Duration) {
 	members := append([]jaymember.Status{}, *e.members.Load()...)
-	self := jaymember.Status{Member: e.self}
-	e.State(&self.Member)
-	members = append(members, self)
+	self := e.self
+	e.stand(&self)
+	members = append(members, jaymember.Status{Member: self})
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // A draw needs no secrecy.
 	near := jayentry.Near(q.Region, q.Zone, members, source)
 	addresses := make([]string, 0, len(near))
@@ -108,11 +108,8 @@
 
 // State fills in the changing parts of the own statement.
 func (e *Edge) State(member *jaymember.Member) {
-	member.Leaving = e.leaving.Load()
-	if policy := e.policies.Policy(); policy != nil {
-		member.Config = policy.Version
-	}
-	member.Work = e.placer.own(e.group.Context())
+	e.stand(member)
+	e.placer.state(e.group.Context(), member)
 }
 
 // Stop ends the instance without cutting a request that ends within the grace.
@@ -143,6 +140,14 @@
 	e.log.Info("instance stopped", "instance", e.self.Name, "took", time.Since(began))
 }
 
+// stand fills in whether the instance takes callers.
+func (e *Edge) stand(member *jaymember.Member) {
+	member.Leaving = e.leaving.Load()
+	if policy := e.policies.Policy(); policy != nil {
+		member.Config = policy.Version
+	}
+}
+
 // listen opens all listeners and serves them.
 func (e *Edge) listen(adapter Adapter, store Store) error {
 	relay := jayrelay.New(jayrelay.Parts{
--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -157,17 +157,20 @@
 
 // others takes in what the other instances state of their work.
 func (p *placer) others(members []jaymember.Status) {
-	work := jayroster.Work(time.Now(), members)
-	p.tell(context.Background(), func(b *beliefs) { b.table.Others(work) })
+	now := time.Now()
+	work, read := jayroster.Work(now, members), jayroster.Read(members)
+	p.tell(context.Background(), func(b *beliefs) {
+		b.table.Others(work)
+		b.table.HeardRead(now, read)
+	})
 }
 
-// own returns this instance's own work.
-func (p *placer) own(ctx context.Context) map[string]jaymember.Work {
-	var own map[string]jaymember.Work
-	if err := p.owner.Ask(ctx, func(b *beliefs) { own = b.table.Own() }); err != nil {
+// state fills in this instance's own work and what it had read.
+func (p *placer) state(ctx context.Context, member *jaymember.Member) {
+	err := p.owner.Ask(ctx, func(b *beliefs) { member.Work, member.Read = b.table.Own(), b.table.Stated(time.Now()) })
+	if err != nil {
 		p.log.Warn("own work not stated", "error", err)
 	}
-	return own
 }
 
 func (p *placer) tell(ctx context.Context, message func(*beliefs)) {
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -24,6 +24,8 @@
 	Demand map[string]Demand `msgpack:"d" json:"demand"`
 	// Work is the instance's own work at each upstream, where it states it.
 	Work map[string]Work `msgpack:"k,omitempty" json:"work,omitempty"`
+	// Read lists prompt parts that the instance has lately had read, where it states them.
+	Read []Read `msgpack:"e,omitempty" json:"read,omitempty"`
 	// Sequence grows with each statement of one incarnation.
 	Sequence uint64 `msgpack:"s" json:"sequence"`
 }
@@ -36,9 +38,23 @@
 
 // Work is one instance's work at an upstream.
 type Work struct {
-	// Running is a number of requests, Reading prompt tokens that are sent and not read yet.
+	// Running is a number of requests, Reading prompt tokens that are sent and not read yet,
+	// and Short those of them in short readings, which engines read first.
 	Running int `msgpack:"r" json:"running"`
 	Reading int `msgpack:"p" json:"reading"`
+	Short   int `msgpack:"s" json:"short"`
+}
+
+// Plus returns the sum of two instances' work.
+func (w Work) Plus(other Work) Work {
+	return Work{Running: w.Running + other.Running, Reading: w.Reading + other.Reading, Short: w.Short + other.Short}
+}
+
+// Read says that an engine has read a part of prompts; both are hashes of their names.
+type Read struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Upstream uint32
+	Part     uint32
 }
 
 // Plus returns the sum of two demands.
--- a/jay/jayplace/table.go
+++ b/jay/jayplace/table.go
@@ -19,6 +19,8 @@
 	regions   map[string]string
 	upstreams map[string]*upstream
 	services  map[string][]*upstream
+	// stated are the readings that the others are told of.
+	stated []reading
 }
 
 // NewTable returns a table without upstreams for an instance at a place.
@@ -40,11 +42,11 @@
 			t.upstreams[spec.ID] = u
 		}
 		u.spec, u.listed = spec, true
-		u.distance = t.distance(spec.Zone)
+		u.distance, u.region = t.distance(spec.Zone), t.regions[spec.Zone]
 		t.services[spec.Service] = append(t.services[spec.Service], u)
 	}
 	for id, u := range t.upstreams {
-		if !u.listed && u.running == 0 {
+		if !u.listed && u.own.Running == 0 {
 			delete(t.upstreams, id)
 		}
 	}
--- a/jay/jayplace/track.go
+++ b/jay/jayplace/track.go
@@ -13,12 +13,12 @@
 	if !ok {
 		return false
 	}
-	u.running = max(0, u.running-1)
+	u.own.Running = max(0, u.own.Running-1)
 	if outcome == OutcomeServed && !prompt {
 		worked := max(0, took-u.distance).Seconds()
 		u.work += weightNew * (worked - u.work)
 	}
-	if !u.listed && u.running == 0 {
+	if !u.listed && u.own.Running == 0 {
 		delete(t.upstreams, id)
 	}
 	return u.note(now, outcome)
@@ -27,7 +27,7 @@
 // Heard takes in the load that an upstream stated in an answer.
 func (t *Table) Heard(now time.Time, id string, load Load) {
 	if u, ok := t.upstreams[id]; ok {
-		u.load, u.loaded, u.ownThen = load, now, u.running
+		u.load, u.loaded, u.ownThen = load, now, u.own.Running
 	}
 }
 
@@ -42,8 +42,8 @@
 func (t *Table) Own() map[string]jaymember.Work {
 	own := make(map[string]jaymember.Work, len(t.upstreams))
 	for id, u := range t.upstreams {
-		if u.running > 0 || u.reading > 0 {
-			own[id] = jaymember.Work{Running: u.running, Reading: u.reading}
+		if u.own != (jaymember.Work{}) {
+			own[id] = u.own
 		}
 	}
 	return own
@@ -55,22 +55,30 @@
 	if !ok {
 		return
 	}
-	u.reading = max(0, u.reading-c.Reading)
-	if done && shared != "" {
-		u.kept[shared] = now
+	u.own.Reading = max(0, u.own.Reading-c.Reading)
+	if c.Reading < shortReading {
+		u.own.Short = max(0, u.own.Short-c.Reading)
+	}
+	if done {
+		t.keep(now, u, shared)
 	}
 }
 
 // Reading notes that the prompt of a choice is sent to be read.
 func (t *Table) Reading(c Choice) {
-	if u, ok := t.upstreams[c.Upstream.ID]; ok {
-		u.reading += c.Reading
+	u, ok := t.upstreams[c.Upstream.ID]
+	if !ok {
+		return
+	}
+	u.own.Reading += c.Reading
+	if c.Reading < shortReading {
+		u.own.Short += c.Reading
 	}
 }
 
 // Start notes that a request is sent to an upstream.
 func (t *Table) Start(id string) {
 	if u, ok := t.upstreams[id]; ok {
-		u.running++
+		u.own.Running++
 	}
 }
--- a/jay/jayplace/upstream.go
+++ b/jay/jayplace/upstream.go
@@ -30,11 +30,12 @@
 	spec     jayfleet.Upstream
 	listed   bool
 	distance time.Duration
+	region   string
 
-	// running and reading are this instance's own requests and the prompt tokens
-	// that are sent there and not read yet; elsewhere is what other instances say of theirs.
-	running, reading int
-	elsewhere        jaymember.Work
+	hash uint32
+
+	// own is this instance's own work there, elsewhere what the other instances state of theirs.
+	own, elsewhere jaymember.Work
 	// work is a moving average of the seconds that plain work takes.
 	work float64
 
@@ -43,14 +44,12 @@
 	// ownThen is this instance's running work when the load figure came.
 	ownThen int
 
-	// kept holds the shared parts that this instance had read here, by when they were last used.
-	kept map[string]time.Time
-
+	kept kept
 	health
 }
 
 func newUpstream(spec jayfleet.Upstream) *upstream {
-	return &upstream{spec: spec, work: firstWork.Seconds(), kept: make(map[string]time.Time)}
+	return &upstream{spec: spec, work: firstWork.Seconds(), hash: hash32(spec.ID), kept: kept{used: make(map[uint32]time.Time)}}
 }
 
 // busy estimates the requests at the upstream: the own ones and those that
@@ -60,7 +59,7 @@
 	if now.Sub(u.loaded) < loadTrust {
 		others = max(others, u.load.Running+u.load.Waiting-u.ownThen)
 	}
-	return u.running + others
+	return u.own.Running + others
 }
 
 // plainWait returns the expected time until plain work sent now is answered.
--- a/jay/jayplace/work.go
+++ b/jay/jayplace/work.go
@@ -38,8 +38,9 @@
 	// SharedTokens, OwnTokens and OutputTokens are the sizes of that part, of the rest of
 	// the prompt and of the longest answer.
 	SharedTokens, OwnTokens, OutputTokens int
-	// Target is the time in which an answer is on time, Left what the caller still waits.
-	Target, Left time.Duration
+	// Target is the time in which an answer is on time, Waited what of it has passed and
+	// Left how long the caller still waits.
+	Target, Waited, Left time.Duration
 	// Rank is the rank of the route, 0 the highest.
 	Rank int
 	// Avoid holds the ids of upstreams that the request has been sent to.
@@ -59,6 +60,9 @@
 	// the first token.
 	Reading int
 	Wait    time.Duration
-	// Cached is set where the shared part is believed to be kept.
+	// Cached is set where the shared part is believed to be kept there.
 	Cached bool
+	// Fetch is the address of an engine that keeps the shared part, from which the
+	// upstream fetches it; empty where it does not have to or none is known.
+	Fetch string
 }
--- a/jay/jayrelay/dialect.go
+++ b/jay/jayrelay/dialect.go
@@ -56,6 +56,8 @@
 	ReadOnly bool
 	// Source is where the engine fetches the KV cache of the prompt, empty where it reads the prompt itself.
 	Source string
+	// Fetch is the address of an engine that keeps the start of the prompt, empty where none is known.
+	Fetch string
 	// After is the last event that the caller has.
 	After string
 }
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -68,7 +68,7 @@
 		}
 	}
 	defer done(false)
-	send := Send{Priority: choice.Priority, After: s.after}
+	send := Send{Priority: choice.Priority, After: s.after, Fetch: choice.Fetch}
 	if !w.Prompt {
 		send.Priority = -1
 	}
@@ -79,6 +79,7 @@
 			return f
 		}
 		done(true)
+		send.Fetch = ""
 		send.Source = choice.Upstream.Address + "/" + kv.Handle
 		defer func() {
 			if send.Source != "" {
@@ -101,7 +102,7 @@
 // logServed writes the line of a stream that the caller has whole.
 func (s *stream) logServed() {
 	s.log.Info("request served", "request", s.call.ID, "route", s.route.Name, "service", s.service, "policy", s.version,
-		"upstream", s.choice.Upstream.ID, "apart", s.choice.Apart, "host", s.host.ID, "cached", s.choice.Cached,
+		"upstream", s.choice.Upstream.ID, "apart", s.choice.Apart, "host", s.host.ID, "cached", s.choice.Cached, "fetch", s.choice.Fetch,
 		"reading", s.choice.Reading, "priority", s.choice.Priority, "wait", s.choice.Wait, "sends", s.sends,
 		"first", s.first, "target", s.route.Target, "took", time.Since(s.began))
 }
@@ -180,7 +181,7 @@
 	if s.reads++; s.reads > 1 && !s.budget.Spend(s.service) {
 		return KV{}, &failure{cause: errors.New("retry budget is spent"), outcome: jayplace.OutcomeRefused}
 	}
-	answer, f := s.send(ctx, c.Upstream, Send{Priority: c.Priority, ReadOnly: true})
+	answer, f := s.send(ctx, c.Upstream, Send{Priority: c.Priority, ReadOnly: true, Fetch: c.Fetch})
 	if f != nil {
 		// A prompt that may have been read has not run.
 		f.ran = false
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -120,9 +120,19 @@
 			continue
 		}
 		for id, w := range m.Work {
-			known := sum[id]
-			sum[id] = jaymember.Work{Running: known.Running + w.Running, Reading: known.Reading + w.Reading}
+			sum[id] = sum[id].Plus(w)
 		}
 	}
 	return sum
 }
+
+// Read returns the prompt parts that other instances state as lately read.
+func Read(members []jaymember.Status) []jaymember.Read {
+	var read []jaymember.Read
+	for _, m := range members {
+		if !m.Silent {
+			read = append(read, m.Read...)
+		}
+	}
+	return read
+}
