Let one instance of a zone read the store for the others

Change: the watcher of a zone passes records on by a mirror; from 13 instances on, exchanges keep to the zone and to two links between zones, with brief statements. Equal upstreams are drawn by the request.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -27,9 +27,13 @@
 )
 
 const (
-	// registryPause is the time between two reads of the registry. Upstreams state
-	// themselves every second or so, and a leaving one must get no new work within 2.5 s.
-	registryPause = 800 * time.Millisecond
+	// registryPart is the part of the time in which a leaving upstream may still get new
+	// work that passes between two reads of the registry.
+	registryPart = 0.4
+	// policyFresh and memberFresh are the ages up to which what another instance has read is
+	// used; both topics are held at the store, for 4 and 10 s.
+	policyFresh = 5500 * time.Millisecond
+	memberFresh = 12 * time.Second
 	// sweepPause is the time between two looks at resting connections.
 	sweepPause = time.Second
 	// headerBound bounds the header of a question to the instance itself.
@@ -77,9 +81,10 @@
 	if err := e.listen(adapter, store); err != nil {
 		return nil, err
 	}
-	e.follow(store, jaystore.TopicPolicy, e.policies, 0)
-	e.follow(store, jaystore.TopicUpstreams, e.placer, registryPause)
-	e.follow(store, jaystore.TopicMembers, e.roster, 0)
+	registryPause := time.Duration(registryPart * float64(settings.Drain))
+	e.follow(store, jaystore.TopicMembers, e.roster, 0, memberFresh)
+	e.follow(store, jaystore.TopicPolicy, e.policies, 0, policyFresh)
+	e.follow(store, jaystore.TopicUpstreams, e.placer, registryPause, settings.Drain)
 	e.group.Every(sweepPause, func(context.Context) { e.pool.Sweep(time.Now()) })
 	log.Info("instance started", "instance", e.self.Name, "incarnation", e.self.Incarnation, "zone", e.self.Zone,
 		"caller", settings.Caller, "store", settings.Store)
@@ -183,8 +188,10 @@
 	})
 }
 
-func (e *Edge) follow(store Store, topic jaystore.Topic, consumer jaystore.Consumer, pause time.Duration) {
-	e.group.Go(jaystore.NewFollower(store, topic, consumer, pause, e.log).Run)
+func (e *Edge) follow(store Store, topic jaystore.Topic, consumer jaystore.Consumer, pause, fresh time.Duration) {
+	mirror := jaystore.NewMirror(consumer)
+	feed := e.roster.Feed(store, topic, mirror, fresh)
+	e.group.Go(jaystore.NewFollower(feed, topic, mirror, pause, e.log).Run)
 }
 
 // membersChanged takes in what is known of the other instances.
--- a/jay/jayedge/settings.go
+++ b/jay/jayedge/settings.go
@@ -23,6 +23,8 @@
 	PeerKey string
 	// Lifetime is how long callers may keep entry addresses.
 	Lifetime time.Duration
+	// Drain is how long an upstream that is leaving may still get new work.
+	Drain time.Duration
 	// Grace is the time from the order to stop until the process is killed.
 	Grace time.Duration
 	// Budget bounds the requests that are sent again.
@@ -45,6 +47,7 @@
 const (
 	defaultLifetime = time.Second
 	defaultGrace    = 8 * time.Second
+	defaultDrain    = 2500 * time.Millisecond
 	defaultRatio    = 0.2
 	defaultWindow   = 10 * time.Second
 	defaultMemory   = 256
@@ -59,7 +62,7 @@
 // ReadSettings reads a settings file and checks it.
 func ReadSettings(file string) (Settings, error) {
 	s := Settings{
-		Lifetime: defaultLifetime, Grace: defaultGrace, Memory: defaultMemory,
+		Lifetime: defaultLifetime, Grace: defaultGrace, Drain: defaultDrain, Memory: defaultMemory,
 		Budget:  Budget{Ratio: defaultRatio, Window: defaultWindow},
 		Regions: make(map[string]string),
 	}
@@ -83,7 +86,7 @@
 		}
 		fields, ok := table[section.Name]
 		if !ok {
-			return s, section.Fault(jayini.KindUnknown, "", "unknown section; accepted: instance, listen, store, key, entry, stop, budget, memory, log, zone")
+			return s, section.Fault(jayini.KindUnknown, "", "unknown section; accepted: instance, listen, store, key, entry, drain, stop, budget, memory, log, zone")
 		}
 		if err := section.Decode(fields...); err != nil {
 			return s, err //nolint:wrapcheck // The fault names file and line.
@@ -115,6 +118,7 @@
 		"store": {jayini.Required(address("address", &s.Store))},
 		"key":   {jayini.Required(key("peer", &s.PeerKey))},
 		"entry": {jayini.Duration("lifetime", &s.Lifetime, 100*time.Millisecond)},
+		"drain": {jayini.Duration("time", &s.Drain, 100*time.Millisecond)},
 		"stop":  {jayini.Duration("grace", &s.Grace, time.Second)},
 		"budget": {
 			jayini.Float("ratio", &s.Budget.Ratio, 0, 1),
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -26,6 +26,8 @@
 	Work map[string]Work `msgpack:"k,omitempty" json:"work,omitempty"`
 	// Read lists prompt parts that the instance has lately had read, where it states them.
 	Read []Read `msgpack:"e,omitempty" json:"read,omitempty"`
+	// Mirrors say how far the instance has read the topics of the store, where it states it.
+	Mirrors map[string]Mirror `msgpack:"m,omitempty" json:"mirrors,omitempty"`
 	// Sequence grows with each statement of one incarnation.
 	Sequence uint64 `msgpack:"s" json:"sequence"`
 }
@@ -36,6 +38,14 @@
 	Output float64 `msgpack:"o" json:"output"`
 }
 
+// Mirror is how far an instance has read a topic of the store.
+type Mirror struct {
+	// Next is the offset after the last record read.
+	Next int64 `msgpack:"n" json:"next"`
+	// Age is how long ago the store last answered, when the statement was made.
+	Age time.Duration `msgpack:"a" json:"age"`
+}
+
 // Work is one instance's work at an upstream.
 type Work struct {
 	// Running is a number of requests, Reading prompt tokens that are sent and not read yet,
--- a/jay/jaypeer/frame.go
+++ b/jay/jaypeer/frame.go
@@ -39,6 +39,8 @@
 	TopicDigest Topic = "digest"
 	// TopicRoster exchanges what both sides know of instances and their work.
 	TopicRoster Topic = "roster"
+	// TopicMirror asks for records of the store that the other side has read.
+	TopicMirror Topic = "mirror"
 	// TopicSnapshot asks for the configuration above a position.
 	TopicSnapshot Topic = "snapshot"
 	// TopicCall forwards a call to the home of its key.
--- a/jay/jayplace/home.go
+++ b/jay/jayplace/home.go
@@ -41,7 +41,7 @@
 // Host returns the decode engine that takes the KV cache of a prompt from its
 // reader and gives the answer.
 func (t *Table) Host(now time.Time, w Work, reader jayfleet.Upstream) (jayfleet.Upstream, error) {
-	host := t.partner(now, t.candidates(now, w), reader)
+	host := t.partner(now, t.candidates(now, w), w, reader)
 	if host == nil {
 		return jayfleet.Upstream{}, jayerror.New("host", KindNone, "no engine gives answers")
 	}
@@ -65,14 +65,14 @@
 
 // partner returns the decode engine that takes the KV cache from a reader:
 // the least busy one of the reader's zone, or of all.
-func (t *Table) partner(now time.Time, candidates []*upstream, reader jayfleet.Upstream) *upstream {
+func (t *Table) partner(now time.Time, candidates []*upstream, w Work, reader jayfleet.Upstream) *upstream {
 	var best *upstream
 	least := math.Inf(1)
 	for _, u := range candidates {
 		if u.spec.Stage == jayfleet.StagePrefill {
 			continue
 		}
-		cost := float64(u.busy(now)) + float64(u.queued())/tokensPerSlot
+		cost := float64(u.busy(now)) + float64(u.queued())/tokensPerSlot + draw(w.ID, u)
 		if u.spec.Zone != reader.Zone {
 			cost += farPartner
 		}
@@ -83,6 +83,11 @@
 	return best
 }
 
+// draw returns a number below 1 that orders equal upstreams differently for each request.
+func draw(id string, u *upstream) float64 {
+	return float64(xxhash.Sum64String(id+"\x00"+u.spec.ID)>>1) / (1 << 63)
+}
+
 // priority returns the engine's rank by the tokens to be read: short readings go first.
 func priority(tokens int) int {
 	rank := 1
--- a/jay/jayplace/table.go
+++ b/jay/jayplace/table.go
@@ -67,7 +67,7 @@
 	if w.Prompt {
 		return t.choosePrompt(now, candidates, w), nil
 	}
-	return t.choosePlain(now, candidates), nil
+	return t.choosePlain(now, candidates, w), nil
 }
 
 // candidates returns the upstreams that may take the work. Where all that were
@@ -92,11 +92,12 @@
 }
 
 // choosePlain returns the upstream with the earliest expected answer.
-func (t *Table) choosePlain(now time.Time, candidates []*upstream) Choice {
+func (t *Table) choosePlain(now time.Time, candidates []*upstream, w Work) Choice {
 	var best *upstream
 	least := time.Duration(0)
 	for _, u := range candidates {
-		if wait := u.plainWait(now); best == nil || wait < least {
+		wait := u.plainWait(now) + time.Duration(draw(w.ID, u)*float64(drawSpread))
+		if best == nil || wait < least {
 			best, least = u, wait
 		}
 	}
@@ -115,6 +116,9 @@
 	}
 }
 
+// drawSpread is the difference in expected time within which upstreams count as equal.
+const drawSpread = 5 * time.Millisecond
+
 // Times of a round trip, as the deployments of the users' letter state them.
 const (
 	roundZone   = 3 * time.Millisecond
--- a/jay/jayplace/work.go
+++ b/jay/jayplace/work.go
@@ -30,6 +30,8 @@
 
 // Work is a request to be placed.
 type Work struct {
+	// ID names the request; equal upstreams are told apart by it.
+	ID      string
 	Service string
 	// Prompt is set for completions; the sizes below are in tokens.
 	Prompt bool
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -204,7 +204,7 @@
 // work describes the request to the placer.
 func (x *exchange) work(now time.Time) jayplace.Work {
 	w := jayplace.Work{
-		Service: x.service, Target: x.route.Target, Waited: now.Sub(x.began), Left: x.deadline.Sub(now),
+		ID: x.call.ID, Service: x.service, Target: x.route.Target, Waited: now.Sub(x.began), Left: x.deadline.Sub(now),
 		Rank: x.route.Priority, Avoid: x.avoid,
 	}
 	if p := x.call.Prompt; p != nil && x.route.Prompt {
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -13,52 +13,72 @@
 
 // tick states the own work, exchanges with the contacts and passes on the result.
 func (r *Roster) tick(s *state, now time.Time) {
-	s.view.State(r.source.State)
+	s.ticks++
+	s.view.State(func(self *jaymember.Member) {
+		r.source.State(self)
+		self.Mirrors = r.mirrors.Positions(now)
+	})
 	s.view.Tick(now)
 	members := s.view.Members()
-	for _, address := range s.contacts(members) {
-		r.ask(s, address)
+	for address, zone := range s.contacts(members) {
+		r.ask(s, address, zone)
 	}
+	r.watch(s.view.Self(), members)
 	r.changed(members)
 }
 
-// contacts returns the addresses of the instances to exchange with now. Of two
-// that know each other only one asks, since the answer carries as much.
-func (s *state) contacts(members []jaymember.Status) []string {
+// contacts returns the addresses of the instances to exchange with now, with
+// their zones. Of two that know each other only one asks, since the answer
+// carries as much.
+func (s *state) contacts(members []jaymember.Status) map[string]string {
 	self := s.view.Self()
-	if len(members) > meshSize {
+	few := len(members) <= meshSize
+	if !few {
 		members = jaymember.Contacts(self, members)
 	}
-	var addresses []string
+	contacts := make(map[string]string)
 	for _, m := range members {
-		if m.Peer == "" || m.Unlisted && m.Silent {
+		every := linksEvery
+		if m.Zone == self.Zone {
+			every = zoneEvery
+		}
+		if m.Peer == "" || m.Unlisted && m.Silent || !few && s.ticks%every != 0 {
 			continue
 		}
 		if self.Incarnation < m.Incarnation || m.Silent {
-			addresses = append(addresses, m.Peer)
+			contacts[m.Peer] = m.Zone
 		}
 	}
 	for _, seed := range s.view.Seeds() {
-		addresses = append(addresses, seed.Peer)
+		if seed.Zone == self.Zone || s.ticks%linksEvery == 0 && (few || s.reaches(seed.Zone, members)) {
+			contacts[seed.Peer] = seed.Zone
+		}
+	}
+	return contacts
+}
+
+// reaches reports whether none of the contacts is of a zone, so that a listed
+// instance there is to be asked.
+func (s *state) reaches(zone string, contacts []jaymember.Status) bool {
+	for _, m := range contacts {
+		if m.Zone == zone && !m.Silent {
+			return false
+		}
 	}
-	return addresses
+	return true
 }
 
 // ask exchanges with one instance, beside the task, unless an exchange is under way.
-func (r *Roster) ask(s *state, address string) {
+func (r *Roster) ask(s *state, address, zone string) {
 	if s.asking[address] {
 		return
 	}
-	body, err := s.statements()
+	body, err := s.statements(zone)
 	if err != nil {
 		r.log.Error("statements not written", "error", err)
 		return
 	}
-	client, ok := s.clients[address]
-	if !ok {
-		client = jaypeer.NewClient(address, r.key)
-		s.clients[address] = client
-	}
+	client := r.client(address)
 	s.asking[address] = true
 	r.group.Go(func(ctx context.Context) {
 		reply, err := client.Ask(ctx, jaypeer.TopicRoster, body, jaypeer.SilentBound)
@@ -91,17 +111,29 @@
 	now := time.Now()
 	for _, m := range d.Statements {
 		s.view.Hear(now, m)
+		if d.Zone != s.view.Self().Zone {
+			s.direct[m.Incarnation] = true
+		} else {
+			delete(s.direct, m.Incarnation)
+		}
 	}
 }
 
-// statements returns what the instance knows, first-hand and passed on.
-func (s *state) statements() ([]byte, error) {
-	all := digest{Statements: []jaymember.Member{s.view.Self()}}
+// statements returns what the instance tells another of a zone: of itself and,
+// where there are many, to its own zone what it heard through its links, and to
+// other zones what it knows of its own.
+func (s *state) statements(zone string) ([]byte, error) {
+	self := s.view.Self()
+	all := digest{Zone: self.Zone, Statements: []jaymember.Member{self}}
 	members := s.view.Members()
 	if len(members) > meshSize {
+		near := zone == self.Zone
+		if !near {
+			all.Statements[0] = brief(self)
+		}
 		for _, m := range members {
-			if !m.Silent {
-				all.Statements = append(all.Statements, m.Member)
+			if !m.Silent && (near && s.direct[m.Incarnation] || !near && m.Zone == self.Zone) {
+				all.Statements = append(all.Statements, brief(m.Member))
 			}
 		}
 	}
@@ -112,6 +144,12 @@
 	return data, nil
 }
 
+// brief returns a statement without what matters only within a zone.
+func brief(m jaymember.Member) jaymember.Member {
+	m.Work, m.Mirrors = nil, nil
+	return m
+}
+
 // Work returns the sum of what other instances state of their work, by upstream.
 func Work(now time.Time, members []jaymember.Status) map[string]jaymember.Work {
 	sum := make(map[string]jaymember.Work)
--- /dev/null
+++ b/jay/jayroster/feed.go
@@ -0,0 +1,176 @@
+package jayroster
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaypeer"
+	"jayfield.example/jay/jaystore"
+)
+
+const (
+	// feedLook is the time between two looks at the watcher's statement.
+	feedLook = 100 * time.Millisecond
+	// firstLook is how long an instance that has just started knows of no other one before it
+	// takes itself for the watcher of its zone.
+	firstLook = 1500 * time.Millisecond
+)
+
+// Feed reads a topic of the store for all instances of a zone but one: the
+// watcher of the zone, which reads the store itself and passes on what it read.
+// An instance whose watcher is silent or behind reads the store itself. The load
+// that it answers is that of many instances, each call of which costs.
+type Feed struct {
+	roster *Roster
+	store  jaystore.Reader
+	topic  jaystore.Topic
+	mirror *jaystore.Mirror
+	// fresh is the age of the watcher's last answer up to which it is believed.
+	fresh time.Duration
+}
+
+// records is the answer to a request for records.
+type records struct {
+	Records []jaystore.Record `msgpack:"r"`
+	Next    int64             `msgpack:"n"`
+}
+
+// request asks for records from an offset on.
+type request struct {
+	Topic jaystore.Topic `msgpack:"t"`
+	From  int64          `msgpack:"f"`
+}
+
+// Feed returns the reader of a topic, whose consumer is mirrored for the others.
+func (r *Roster) Feed(store jaystore.Reader, topic jaystore.Topic, mirror *jaystore.Mirror, fresh time.Duration) *Feed {
+	r.mirrors.Store(topic, mirror)
+	return &Feed{roster: r, store: store, topic: topic, mirror: mirror, fresh: fresh}
+}
+
+// Newest returns the newest record of each key.
+func (f *Feed) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+	if list, next, ok := f.ask(ctx, -1); ok {
+		return list, next, nil
+	}
+	at := time.Now()
+	list, end, err := f.store.Newest(ctx, topic)
+	if err == nil {
+		f.mirror.Answered(at, end)
+	}
+	return list, end, err //nolint:wrapcheck // The store's errors are those of jaystore.
+}
+
+// Read returns records from an offset on, from the watcher as soon as it has
+// some, or from the store.
+func (f *Feed) Read(ctx context.Context, topic jaystore.Topic, from int64, wait bool) ([]jaystore.Record, int64, error) {
+	for ctx.Err() == nil {
+		next, at, ok := f.roster.watched(f.topic, f.fresh)
+		if !ok {
+			break
+		}
+		if next > from {
+			if list, next, ok := f.ask(ctx, from); ok {
+				f.mirror.Answered(at, next)
+				return list, next, nil
+			}
+			break
+		}
+		f.mirror.Answered(at, from)
+		if !wait {
+			return nil, from, nil
+		}
+		select {
+		case <-time.After(feedLook):
+		case <-ctx.Done():
+		}
+	}
+	at := time.Now()
+	list, next, err := f.store.Read(ctx, topic, from, wait)
+	if err == nil {
+		f.mirror.Answered(at, next)
+	}
+	return list, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
+}
+
+// ask asks the watcher for records. It reports false where it has none or does not answer.
+func (f *Feed) ask(ctx context.Context, from int64) ([]jaystore.Record, int64, bool) {
+	if _, _, ok := f.roster.watched(f.topic, f.fresh); !ok {
+		return nil, 0, false
+	}
+	address := f.roster.watcher.Load().Peer
+	body, err := msgpack.Marshal(request{Topic: f.topic, From: from})
+	if err == nil {
+		body, err = f.roster.client(address).Ask(ctx, jaypeer.TopicMirror, body, jaypeer.SilentBound)
+	}
+	var reply records
+	if err == nil {
+		err = msgpack.Unmarshal(body, &reply)
+	}
+	if err != nil || reply.Next < from {
+		f.roster.log.Info("watcher not used", "topic", f.topic, "address", address, "next", reply.Next, "error", err)
+		return nil, 0, false
+	}
+	return reply.Records, reply.Next, true
+}
+
+// serveMirror answers a request for records.
+func (r *Roster) serveMirror(body []byte) ([]byte, error) {
+	var asked request
+	if err := msgpack.Unmarshal(body, &asked); err != nil {
+		return nil, jayerror.Wrap("mirror", KindFormat, err)
+	}
+	mirror, ok := r.mirrors.Load(asked.Topic)
+	if !ok {
+		return nil, jayerror.Newf("mirror", KindFormat, "topic %q is not mirrored", asked.Topic)
+	}
+	list, next := mirror.From(asked.From)
+	reply, err := msgpack.Marshal(records{Records: list, Next: next})
+	if err != nil {
+		return nil, jayerror.Wrap("mirror", KindFormat, err)
+	}
+	return reply, nil
+}
+
+// watched returns how far the zone's watcher has read a topic and when the store
+// last answered it. It reports false where the instance itself is to read.
+func (r *Roster) watched(topic jaystore.Topic, fresh time.Duration) (int64, time.Time, bool) {
+	watcher := r.watcher.Load()
+	if watcher == nil {
+		return 0, time.Time{}, false
+	}
+	mirror, ok := watcher.Mirrors[string(topic)]
+	at := watcher.Heard.Add(-mirror.Age)
+	if !ok || mirror.Next < 0 || time.Since(at) > fresh || time.Since(watcher.Heard) > jaymember.SilenceBound/2 {
+		return 0, time.Time{}, false
+	}
+	return mirror.Next, at, true
+}
+
+// watch chooses the watcher of the zone: the instance with the least
+// incarnation among those that neither leave nor are silent.
+func (r *Roster) watch(self jaymember.Member, members []jaymember.Status) {
+	var least *jaymember.Status
+	for i := range members {
+		m := &members[i]
+		if m.Zone != self.Zone || m.Silent || m.Leaving {
+			continue
+		}
+		if least == nil || m.Incarnation < least.Incarnation {
+			least = m
+		}
+	}
+	watching := least == nil || self.Incarnation < least.Incarnation && !self.Leaving
+	if watching {
+		least = nil
+	}
+	r.watcher.Store(least)
+	// Before the others are known, an instance does not take itself for the watcher.
+	watching = watching && (len(members) > 0 || time.Since(r.started) > firstLook)
+	if r.watching.Swap(watching) != watching {
+		r.log.Info("watcher of the zone", "zone", self.Zone, "self", watching)
+	}
+}
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -7,6 +7,8 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -20,10 +22,14 @@
 )
 
 const (
-	// Period is the time between two exchanges with each contact.
+	// Period is the time between two exchanges with each contact where there are few.
 	Period = 250 * time.Millisecond
-	// meshSize is the number of members up to which each exchanges with all.
-	meshSize = 12
+	// meshSize is the number of members up to which each exchanges with all. Above it, an
+	// instance exchanges with those of its zone each second period, and the links between
+	// zones are used each fourth.
+	meshSize   = 12
+	zoneEvery  = 2
+	linksEvery = 4
 	// statementTrust is how long a statement of work counts.
 	statementTrust = 1500 * time.Millisecond
 )
@@ -54,18 +60,64 @@
 	server  *jaypeer.Server
 	log     *slog.Logger
 	changed func(members []jaymember.Status)
+	started time.Time
+
+	mirrors  mirrors
+	clients  sync.Map
+	watching atomic.Bool
+	watcher  atomic.Pointer[jaymember.Status]
+}
+
+// mirrors holds the mirror of each topic.
+type mirrors struct {
+	byTopic sync.Map
+}
+
+// Load returns the mirror of a topic.
+func (m *mirrors) Load(topic jaystore.Topic) (*jaystore.Mirror, bool) {
+	value, ok := m.byTopic.Load(topic)
+	if !ok {
+		return nil, false
+	}
+	mirror, ok := value.(*jaystore.Mirror)
+	return mirror, ok
+}
+
+// Positions returns how far each topic has been read.
+func (m *mirrors) Positions(now time.Time) map[string]jaymember.Mirror {
+	positions := make(map[string]jaymember.Mirror)
+	m.byTopic.Range(func(topic, value any) bool {
+		name, known := topic.(jaystore.Topic)
+		mirror, ok := value.(*jaystore.Mirror)
+		if known && ok {
+			next, read := mirror.Position()
+			positions[string(name)] = jaymember.Mirror{Next: next, Age: now.Sub(read)}
+		}
+		return true
+	})
+	return positions
+}
+
+// Store sets the mirror of a topic.
+func (m *mirrors) Store(topic jaystore.Topic, mirror *jaystore.Mirror) {
+	m.byTopic.Store(topic, mirror)
 }
 
 // state is owned by one task.
 type state struct {
-	view    *jaymember.View
-	listed  map[string]jaylist.Instance
-	clients map[string]*jaypeer.Client
-	asking  map[string]bool
+	view   *jaymember.View
+	listed map[string]jaylist.Instance
+	asking map[string]bool
+	// direct holds the members of other zones that the instance heard of through its own
+	// links; it passes these on within its zone.
+	direct map[string]bool
+	ticks  int
 }
 
 // digest is what two instances exchange.
 type digest struct {
+	// Zone is the zone of the instance that states.
+	Zone       string             `msgpack:"z"`
 	Statements []jaymember.Member `msgpack:"s"`
 }
 
@@ -85,11 +137,11 @@
 func Start(p Parts) *Roster {
 	r := &Roster{
 		self: p.Self, source: p.Source, writer: p.Writer, key: p.Key, log: p.Log, changed: p.Changed,
-		group: jaytask.NewGroup(),
+		group: jaytask.NewGroup(), started: time.Now(),
 	}
 	s := &state{
 		view: jaymember.NewView(p.Self), listed: make(map[string]jaylist.Instance),
-		clients: make(map[string]*jaypeer.Client), asking: make(map[string]bool),
+		asking: make(map[string]bool), direct: make(map[string]bool),
 	}
 	r.owner = jaytask.NewOwner(s, Period, r.tick)
 	r.server = jaypeer.NewServer(p.Listener, p.Key, r, p.Log)
@@ -102,8 +154,23 @@
 	return r.owner.Done()
 }
 
-// HandlePeer answers an exchange.
-func (r *Roster) HandlePeer(ctx context.Context, _ jaypeer.Topic, body []byte) ([]byte, error) {
+// client returns the client of an instance.
+func (r *Roster) client(address string) *jaypeer.Client {
+	if known, ok := r.clients.Load(address); ok {
+		if client, ok := known.(*jaypeer.Client); ok {
+			return client
+		}
+	}
+	client := jaypeer.NewClient(address, r.key)
+	r.clients.Store(address, client)
+	return client
+}
+
+// HandlePeer answers an exchange or a request for records.
+func (r *Roster) HandlePeer(ctx context.Context, topic jaypeer.Topic, body []byte) ([]byte, error) {
+	if topic == jaypeer.TopicMirror {
+		return r.serveMirror(body)
+	}
 	var theirs digest
 	if err := msgpack.Unmarshal(body, &theirs); err != nil {
 		return nil, jayerror.Wrap("exchange", KindFormat, err)
@@ -112,7 +179,7 @@
 	var failed error
 	err := r.owner.Ask(ctx, func(s *state) {
 		s.hear(theirs)
-		reply, failed = s.statements()
+		reply, failed = s.statements(theirs.Zone)
 	})
 	if err != nil {
 		return nil, jayerror.Wrap("exchange", KindFormat, err)
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -26,6 +26,12 @@
 	Returned(ctx context.Context)
 }
 
+// Answers is told of each answer, also of those without records.
+type Answers interface {
+	// Answered notes that the reader answered with what is known at a time, up to an offset.
+	Answered(at time.Time, next int64)
+}
+
 // Follower reads a topic from its newest records on.
 type Follower struct {
 	reader   Reader
