Ask listed instances only until they are known

Change: seeds that have made a statement are left out, and at most two of a zone are asked at once; a start waits for its watcher after the first read.

--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jaypeer"
 )
@@ -32,12 +33,12 @@
 // carries as much.
 func (s *state) contacts(members []jaymember.Status) map[string]string {
 	self := s.view.Self()
-	few := len(members) <= meshSize
+	chosen, few := members, len(members) <= meshSize
 	if !few {
-		members = jaymember.Contacts(self, members)
+		chosen = jaymember.Contacts(self, members)
 	}
 	contacts := make(map[string]string)
-	for _, m := range members {
+	for _, m := range chosen {
 		every := linksEvery
 		if m.Zone == self.Zone {
 			every = zoneEvery
@@ -49,25 +50,38 @@
 			contacts[m.Peer] = m.Zone
 		}
 	}
-	for _, seed := range s.view.Seeds() {
-		if seed.Zone == self.Zone || s.ticks%linksEvery == 0 && (few || s.reaches(seed.Zone, members)) {
-			contacts[seed.Peer] = seed.Zone
-		}
+	for _, seed := range s.seeds(members) {
+		contacts[seed.Peer] = seed.Zone
 	}
 	return contacts
 }
 
-// reaches reports whether none of the contacts is of a zone, so that a listed
-// instance there is to be asked.
-func (s *state) reaches(zone string, contacts []jaymember.Status) bool {
-	for _, m := range contacts {
-		if m.Zone == zone && !m.Silent {
-			return false
+// seeds returns listed instances that have made no statement yet and are to be
+// asked now: those of the own zone, and some of each zone of which none is known.
+func (s *state) seeds(members []jaymember.Status) []jaylist.Instance {
+	known, zones := make(map[string]bool), make(map[string]int)
+	for _, m := range members {
+		known[m.Incarnation] = true
+		if !m.Silent {
+			zones[m.Zone] = seedsPerZone
 		}
 	}
-	return true
+	var seeds []jaylist.Instance
+	for _, seed := range s.view.Seeds() {
+		near := seed.Zone == s.view.Self().Zone
+		if known[seed.Incarnation] || !near && zones[seed.Zone] >= seedsPerZone {
+			continue
+		}
+		zones[seed.Zone]++
+		seeds = append(seeds, seed)
+	}
+	return seeds
 }
 
+// seedsPerZone is the number of listed instances of another zone that are asked
+// at once while none of them is known.
+const seedsPerZone = 2
+
 // ask exchanges with one instance, beside the task, unless an exchange is under way.
 func (r *Roster) ask(s *state, address, zone string) {
 	if s.asking[address] {
--- a/jay/jayroster/feed.go
+++ b/jay/jayroster/feed.go
@@ -69,6 +69,11 @@
 func (f *Feed) Read(ctx context.Context, topic jaystore.Topic, from int64, wait bool) ([]jaystore.Record, int64, error) {
 	for ctx.Err() == nil {
 		next, at, ok := f.roster.watched(f.topic, f.fresh)
+		if !ok && f.roster.young() {
+			// The newest records have just been read, and the watcher is about to be known.
+			time.Sleep(feedLook)
+			continue
+		}
 		if !ok {
 			break
 		}
@@ -135,6 +140,11 @@
 	return reply, nil
 }
 
+// young reports whether the instance has just started and does not watch.
+func (r *Roster) young() bool {
+	return time.Since(r.started) < firstLook && !r.watching.Load()
+}
+
 // watched returns how far the zone's watcher has read a topic and when the store
 // last answered it. It reports false where the instance itself is to read.
 func (r *Roster) watched(topic jaystore.Topic, fresh time.Duration) (int64, time.Time, bool) {
