Read the policy at once where another instance has a newer one

Change: statements carry the policy's version; an instance that hears of a greater one ends its held read and asks at once.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -63,6 +63,9 @@
 	small    []*http.Server
 	leaving  atomic.Bool
 	members  atomic.Pointer[[]jaymember.Status]
+	// policyFeed follows the policy; told is the greatest version that another instance stated.
+	policyFeed atomic.Pointer[jaystore.Follower]
+	told       atomic.Int64
 }
 
 // Start starts an instance and returns once it listens.
@@ -83,7 +86,7 @@
 	}
 	registryPause := time.Duration(registryPart * float64(settings.Drain))
 	e.follow(store, jaystore.TopicMembers, e.roster, 0, memberFresh)
-	e.follow(store, jaystore.TopicPolicy, e.policies, 0, policyFresh)
+	e.policyFeed.Store(e.follow(store, jaystore.TopicPolicy, e.policies, 0, policyFresh))
 	e.follow(store, jaystore.TopicUpstreams, e.placer, registryPause, settings.Drain)
 	e.group.Every(sweepPause, func(context.Context) { e.pool.Sweep(time.Now()) })
 	log.Info("instance started", "instance", e.self.Name, "incarnation", e.self.Incarnation, "zone", e.self.Zone,
@@ -188,10 +191,12 @@
 	})
 }
 
-func (e *Edge) follow(store Store, topic jaystore.Topic, consumer jaystore.Consumer, pause, fresh time.Duration) {
+func (e *Edge) follow(store Store, topic jaystore.Topic, consumer jaystore.Consumer, pause, fresh time.Duration) *jaystore.Follower {
 	mirror := jaystore.NewMirror(consumer)
 	feed := e.roster.Feed(store, topic, mirror, fresh)
-	e.group.Go(jaystore.NewFollower(feed, topic, mirror, pause, e.log).Run)
+	follower := jaystore.NewFollower(feed, topic, mirror, pause, e.log)
+	e.group.Go(follower.Run)
+	return follower
 }
 
 // membersChanged takes in what is known of the other instances.
@@ -204,9 +209,25 @@
 		}
 	}
 	e.budgets.share(speaking)
+	e.hearPolicies(members)
 	e.placer.others(members)
 }
 
+// hearPolicies reads the policy at once where another instance has a newer one:
+// the own read may be held on a connection that has fallen silent.
+func (e *Edge) hearPolicies(members []jaymember.Status) {
+	greatest := int64(-1)
+	for _, m := range members {
+		greatest = max(greatest, m.Config)
+	}
+	policy, feed := e.policies.Policy(), e.policyFeed.Load()
+	if policy == nil || feed == nil || greatest <= policy.Version || e.told.Swap(greatest) == greatest {
+		return
+	}
+	e.log.Info("newer policy heard of", "version", greatest, "inForce", policy.Version)
+	feed.Hurry()
+}
+
 // policyChanged takes in a policy that has just come into force.
 func (e *Edge) policyChanged(policy *jaytraffic.Policy) {
 	e.server.Configure(policy.Limits)
--- a/jay/jayroster/feed.go
+++ b/jay/jayroster/feed.go
@@ -56,10 +56,9 @@
 	if list, next, ok := f.ask(ctx, -1); ok {
 		return list, next, nil
 	}
-	at := time.Now()
 	list, end, err := f.store.Newest(ctx, topic)
 	if err == nil {
-		f.mirror.Answered(at, end)
+		f.mirror.Answered(time.Now(), end)
 	}
 	return list, end, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
@@ -93,10 +92,10 @@
 		case <-ctx.Done():
 		}
 	}
-	at := time.Now()
 	list, next, err := f.store.Read(ctx, topic, from, wait)
 	if err == nil {
-		f.mirror.Answered(at, next)
+		// A read that was held tells what holds at its end.
+		f.mirror.Answered(time.Now(), next)
 	}
 	return list, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -43,11 +43,22 @@
 	next  int64
 	lost  bool
 	retry time.Duration
+	// hurried has the next read not wait.
+	hurried bool
+	hurry   chan struct{}
 }
 
 // NewFollower returns a follower that reads each pause, or waits at the store where pause is 0.
 func NewFollower(reader Reader, topic Topic, consumer Consumer, pause time.Duration, log *slog.Logger) *Follower {
-	return &Follower{reader: reader, topic: topic, consumer: consumer, log: log, pause: pause, next: -1, retry: firstRetry}
+	return &Follower{reader: reader, topic: topic, consumer: consumer, log: log, pause: pause, next: -1, retry: firstRetry, hurry: make(chan struct{}, 1)}
+}
+
+// Hurry ends a read that waits and asks at once, since there is news.
+func (f *Follower) Hurry() {
+	select {
+	case f.hurry <- struct{}{}:
+	default:
+	}
 }
 
 // Run follows the topic until ctx ends.
@@ -61,6 +72,8 @@
 		}
 		select {
 		case <-time.After(pause):
+		case <-f.hurry:
+			f.hurried = true
 		case <-ctx.Done():
 		}
 	}
@@ -77,10 +90,9 @@
 		f.next = end
 		return nil
 	}
-	// A store that was lost is asked without waiting: a read that it held before may never be answered.
-	records, next, err := f.reader.Read(ctx, f.topic, f.next, f.pause == 0 && !f.lost)
+	records, next, err := f.read(ctx)
 	if err != nil {
-		return err //nolint:wrapcheck // The adapter returns errors of this package.
+		return err
 	}
 	if len(records) > 0 {
 		f.consumer.Apply(ctx, records)
@@ -89,9 +101,32 @@
 	return nil
 }
 
+// read reads what follows. A store that was lost is asked without waiting: a
+// read that it held before may never be answered.
+func (f *Follower) read(ctx context.Context) ([]Record, int64, error) {
+	wait := f.pause == 0 && !f.lost && !f.hurried
+	f.hurried = false
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{})
+	defer func() { <-ended }()
+	reading := make(chan struct{})
+	defer close(reading)
+	go func() {
+		defer close(ended)
+		select {
+		case <-f.hurry:
+			f.hurried = true
+			cancel()
+		case <-reading:
+		}
+	}()
+	return f.reader.Read(ctx, f.topic, f.next, wait) //nolint:wrapcheck // The adapter returns errors of this package.
+}
+
 // failed takes in a failed call and returns the pause before the next.
 func (f *Follower) failed(ctx context.Context, err error) time.Duration {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || f.hurried {
 		return 0
 	}
 	if jayerror.Is(err, KindExpired) {
--- a/jay/jaystore/follower_test.go
+++ b/jay/jaystore/follower_test.go
@@ -118,3 +118,43 @@
 		})
 	}
 }
+
+// held is a reader whose first read waits until it is cancelled.
+type held struct {
+	reading chan struct{}
+	reads   int
+	end     context.CancelFunc
+}
+
+func (*held) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+	return nil, 0, nil
+}
+
+func (h *held) Read(ctx context.Context, _ jaystore.Topic, _ int64, wait bool) ([]jaystore.Record, int64, error) {
+	if h.reads++; h.reads == 1 {
+		close(h.reading)
+		<-ctx.Done()
+		return nil, 0, jayerror.Wrap("read", jaystore.KindUnavailable, ctx.Err())
+	}
+	h.end()
+	if wait {
+		return nil, 0, jayerror.New("read", jaystore.KindFormat, "the read after the news waits")
+	}
+	return []jaystore.Record{{Key: "news"}}, 1, nil
+}
+
+// News end a read that the store holds, which may never be answered.
+func TestFollowerHurries(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	h, c := &held{reading: make(chan struct{}), end: cancel}, &consumer{}
+	follower := jaystore.NewFollower(h, jaystore.TopicPolicy, c, 0, slog.New(slog.DiscardHandler))
+	go func() {
+		<-h.reading
+		follower.Hurry()
+	}()
+	follower.Run(ctx)
+	if want := []string{"replace", "apply news"}; !slices.Equal(c.seen, want) {
+		t.Errorf("seen = %q, want %q", c.seen, want)
+	}
+}
