--- a/jay/jayplace/home.go
+++ b/jay/jayplace/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,12 +31,15 @@
 // choosePrompt returns the home of the work's shared part, even where another
 // engine would be free sooner: reading shared parts anew there costs more at the
 // crest than waiting does.
-func (t *Table) choosePrompt(now time.Time, candidates []*upstream, w Work) Choice {
+func (t *Table) choosePrompt(now time.Time, candidates []*upstream, w Work) (Choice, error) {
+	if !slices.ContainsFunc(candidates, func(u *upstream) bool { return u.spec.Stage != jayfleet.StagePrefill }) {
+		return Choice{}, jayerror.New("choose", KindNone, "no engine gives answers")
+	}
 	o := t.option(now, home(candidates, w), w)
 	return Choice{
 		Upstream: o.u.spec, Apart: o.u.spec.Stage == jayfleet.StagePrefill,
 		Cached: o.cached, Reading: o.reading, Wait: o.wait, Priority: priority(o.reading), Fetch: o.fetch(),
-	}
+	}, nil
 }
 
 // Host returns the decode engine that takes the KV cache of a prompt from its
--- /dev/null
+++ b/jay/jayplace/place_test.go
@@ -0,0 +1,240 @@
+package jayplace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jayplace"
+)
+
+var start = time.Unix(1000, 0)
+
+// engines returns a table of an instance in zone z0 with engines spread over three zones.
+func engines(prefill, decode int) *jayplace.Table {
+	table := jayplace.NewTable(jayplace.Place{Zone: "z0", Region: "r0"}, map[string]string{"z0": "r0", "z1": "r1", "z2": "r2"})
+	var list []jayfleet.Upstream
+	for i := range prefill + decode {
+		u := jayfleet.Upstream{
+			ID: fmt.Sprintf("e%02d", i), Service: "model", Address: fmt.Sprintf("10.0.0.%d:80", i+1),
+			Zone: fmt.Sprintf("z%d", i%3), Slots: 128, Stage: jayfleet.StageDecode,
+		}
+		if i < prefill {
+			u.Stage = jayfleet.StagePrefill
+		}
+		list = append(list, u)
+	}
+	table.Configure(list)
+	return table
+}
+
+func prompt(id, shared string, own int) jayplace.Work {
+	return jayplace.Work{
+		ID: id, Service: "model", Prompt: true, Shared: shared, SharedTokens: 13_000, OwnTokens: own,
+		Target: 600 * time.Millisecond, Left: 5 * time.Second,
+	}
+}
+
+// Requests that share the start of a prompt meet at one engine, from whichever instance they come.
+func TestSharedPartsHaveOneHome(t *testing.T) {
+	one, other := engines(4, 8), engines(4, 8)
+	homes := make(map[string]int)
+	for i := range 300 {
+		shared := fmt.Sprintf("part%d", i%100)
+		a, err := one.Choose(start, prompt(fmt.Sprint("a", i), shared, 500))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := other.Choose(start, prompt(fmt.Sprint("b", i), shared, 900))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a.Upstream.ID != b.Upstream.ID {
+			t.Fatalf("%s has the homes %s and %s", shared, a.Upstream.ID, b.Upstream.ID)
+		}
+		homes[a.Upstream.ID]++
+	}
+	if len(homes) < 10 {
+		t.Errorf("only %d of 12 engines are homes", len(homes))
+	}
+}
+
+// An engine that leaves moves only the parts that it was the home of.
+func TestHomesStayWhenAnotherEngineLeaves(t *testing.T) {
+	table := engines(0, 9)
+	before := make(map[string]string)
+	for i := range 100 {
+		shared := fmt.Sprint("part", i)
+		choice, err := table.Choose(start, prompt("r", shared, 500))
+		if err != nil {
+			t.Fatal(err)
+		}
+		before[shared] = choice.Upstream.ID
+	}
+	var rest []jayfleet.Upstream
+	for i := 1; i < 9; i++ {
+		rest = append(rest, jayfleet.Upstream{ID: fmt.Sprintf("e%02d", i), Service: "model", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Stage: jayfleet.StageDecode})
+	}
+	table.Configure(rest)
+	for shared, home := range before {
+		choice, err := table.Choose(start, prompt("r", shared, 500))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if home != "e00" && choice.Upstream.ID != home {
+			t.Errorf("%s moved from %s to %s", shared, home, choice.Upstream.ID)
+		}
+	}
+}
+
+// Ranks follow what is really read: a part that another instance had read is
+// not counted again.
+func TestRankByWhatIsRead(t *testing.T) {
+	table, other := engines(0, 8), engines(0, 8)
+	work := prompt("r", "part", 700)
+	cold, err := table.Choose(start, work)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cold.Cached || cold.Reading != 13_700 {
+		t.Fatalf("cold choice = %+v", cold)
+	}
+	other.Reading(cold)
+	other.Read(start, cold, work.Shared, true)
+	table.HeardRead(start, other.Stated(start))
+	warm, err := table.Choose(start, work)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !warm.Cached || warm.Reading != 700 || warm.Priority >= cold.Priority {
+		t.Errorf("warm choice = %+v, cold %+v", warm, cold)
+	}
+	if later := other.Stated(start.Add(time.Minute)); len(later) != 0 {
+		t.Errorf("stated after a minute: %v", later)
+	}
+}
+
+// An engine that lacks a part fetches it from one that keeps it, near ones first.
+func TestFetchFromHolder(t *testing.T) {
+	table := engines(0, 6)
+	work := prompt("r", "part", 700)
+	first, err := table.Choose(start, work)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.Reading(first)
+	table.Read(start, first, work.Shared, true)
+	work.Avoid = map[string]bool{first.Upstream.ID: true}
+	second, err := table.Choose(start, work)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if second.Fetch != first.Upstream.Address || second.Reading != 700 {
+		t.Errorf("second choice = %+v, want a fetch from %s", second, first.Upstream.Address)
+	}
+}
+
+// The host of a prompt that was read apart is near its reader and not the busiest.
+func TestHostIsNearReader(t *testing.T) {
+	table := engines(3, 6)
+	reader := jayfleet.Upstream{ID: "e00", Zone: "z0"}
+	hosts := make(map[string]int)
+	for i := range 20 {
+		host, err := table.Host(start, prompt(fmt.Sprint(i), "part", 1), reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if host.Zone != "z0" || host.Stage != jayfleet.StageDecode {
+			t.Fatalf("host = %+v", host)
+		}
+		hosts[host.ID]++
+		table.Start(host.ID)
+	}
+	if len(hosts) != 2 || hosts["e03"] != hosts["e06"] {
+		t.Errorf("hosts = %v, want both of the zone alike", hosts)
+	}
+}
+
+func TestPlainWork(t *testing.T) {
+	slow := jayplace.Load{Running: 1, Slots: 6, Slowness: 400}
+	full := jayplace.Load{Running: 6, Waiting: 9, Slots: 6}
+	tests := map[string]struct {
+		observe func(table *jayplace.Table)
+		avoid   map[string]bool
+		want    string
+	}{
+		"near first":        {func(*jayplace.Table) {}, nil, "near"},
+		"round a slow one":  {func(table *jayplace.Table) { table.Heard(start, "near", slow) }, nil, "far"},
+		"round a full one":  {func(table *jayplace.Table) { table.Heard(start, "near", full) }, nil, "far"},
+		"round a tried one": {func(*jayplace.Table) {}, map[string]bool{"near": true}, "far"},
+		"round one that is silent": {func(table *jayplace.Table) {
+			table.Start("near")
+			table.End(start, "near", jayplace.OutcomeSilent, time.Second, false)
+		}, nil, "far"},
+		"round others' work": {func(table *jayplace.Table) {
+			table.Others(map[string]jaymember.Work{"near": {Running: 20}})
+		}, nil, "far"},
+		"an ejected one where nothing else is": {func(table *jayplace.Table) {
+			table.Start("near")
+			table.End(start, "near", jayplace.OutcomeUnreachable, time.Second, false)
+		}, map[string]bool{"far": true}, "near"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := jayplace.NewTable(jayplace.Place{Zone: "z0", Region: "r0"}, map[string]string{"z0": "r0", "z1": "r1"})
+			table.Configure([]jayfleet.Upstream{
+				{ID: "near", Service: "desk", Address: "10.0.0.1:80", Zone: "z0", Slots: 6},
+				{ID: "far", Service: "desk", Address: "10.0.0.2:80", Zone: "z1", Slots: 6},
+			})
+			test.observe(table)
+			choice, err := table.Choose(start, jayplace.Work{ID: "r", Service: "desk", Avoid: test.avoid})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if choice.Upstream.ID != test.want {
+				t.Errorf("upstream = %s, want %s", choice.Upstream.ID, test.want)
+			}
+		})
+	}
+}
+
+func TestNobodyTakesWork(t *testing.T) {
+	table := engines(2, 0)
+	if _, err := table.Choose(start, jayplace.Work{Service: "unknown"}); !jayerror.Is(err, jayplace.KindNone) {
+		t.Errorf("error = %v, want kind none", err)
+	}
+	if _, err := table.Choose(start, prompt("r", "part", 1)); !jayerror.Is(err, jayplace.KindNone) {
+		t.Errorf("error = %v, want kind none before a prompt is read for nobody", err)
+	}
+	if _, err := table.Host(start, prompt("r", "part", 1), jayfleet.Upstream{}); !jayerror.Is(err, jayplace.KindNone) {
+		t.Errorf("error = %v, want kind none", err)
+	}
+}
+
+// Single failed answers of a sound service eject nobody; a series does.
+func TestEjection(t *testing.T) {
+	tests := map[string]struct {
+		outcomes []jayplace.Outcome
+		want     bool
+	}{
+		"one in three fails": {[]jayplace.Outcome{"failed", "served", "served", "failed", "served", "served"}, false},
+		"all fail":           {[]jayplace.Outcome{"failed", "failed", "failed", "failed"}, true},
+		"the caller left":    {[]jayplace.Outcome{"gone", "gone", "gone", "gone", "gone"}, false},
+		"silent once":        {[]jayplace.Outcome{"silent"}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table, ejected := engines(0, 1), false
+			for _, outcome := range test.outcomes {
+				table.Start("e00")
+				ejected = table.End(start, "e00", outcome, time.Second, true) || ejected
+			}
+			if ejected != test.want {
+				t.Errorf("ejected = %v, want %v", ejected, test.want)
+			}
+		})
+	}
+}
--- a/jay/jayplace/table.go
+++ b/jay/jayplace/table.go
@@ -65,7 +65,7 @@
 		return Choice{}, jayerror.Newf("choose", KindNone, "none of the %d upstreams of the service takes work", len(t.services[w.Service]))
 	}
 	if w.Prompt {
-		return t.choosePrompt(now, candidates, w), nil
+		return t.choosePrompt(now, candidates, w)
 	}
 	return t.choosePlain(now, candidates, w), nil
 }
--- /dev/null
+++ b/jay/jaytraffic/policy_test.go
@@ -0,0 +1,69 @@
+package jaytraffic_test
+
+import (
+	"testing"
+
+	"jayfield.example/jay/jaytraffic"
+)
+
+func TestRoute(t *testing.T) {
+	policy := jaytraffic.New(3, jaytraffic.Limits{}, []jaytraffic.Route{
+		{Name: "all", Host: "a.example", Prefix: "/"},
+		{Name: "orders", Host: "a.example", Prefix: "/orders/"},
+		{Name: "urgent", Host: "a.example", Prefix: "/orders/urgent/"},
+		{Name: "other", Host: "b.example", Prefix: "/orders/"},
+	}, nil)
+	tests := map[string]struct{ host, path, want string }{
+		"longest prefix":         {"a.example", "/orders/urgent/1", "urgent"},
+		"shorter prefix":         {"a.example", "/orders/1", "orders"},
+		"prefix ends in a slash": {"a.example", "/orders", "all"},
+		"host without case":      {"A.Example", "/orders/1", "orders"},
+		"another host":           {"b.example", "/orders/urgent/1", "other"},
+		"no such path":           {"b.example", "/", ""},
+		"no such host":           {"c.example", "/", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			route, ok := policy.Route(test.host, test.path)
+			if route.Name != test.want || ok != (test.want != "") {
+				t.Errorf("route = %q, %v; want %q", route.Name, ok, test.want)
+			}
+		})
+	}
+}
+
+// A split spreads requests by their ids, by weight and always the same way.
+func TestSplit(t *testing.T) {
+	route := jaytraffic.Route{Split: []jaytraffic.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := make(map[string]int)
+	for i := range 10_000 {
+		id := string(rune('a'+i%26)) + string(rune(i))
+		service := route.Service(id)
+		counts[service]++
+		if route.Service(id) != service {
+			t.Fatalf("request %q goes to two services", id)
+		}
+	}
+	if counts["a"]+counts["b"] != 10_000 || counts["b"] < 800 || counts["b"] > 1200 {
+		t.Errorf("counts = %v, want about 9,000 and 1,000", counts)
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	tests := map[string]struct {
+		route jaytraffic.Route
+		want  bool
+	}{
+		"idempotent":       {jaytraffic.Route{Kind: jaytraffic.KindIdempotent}, true},
+		"once":             {jaytraffic.Route{Kind: jaytraffic.KindOnce}, false},
+		"stream":           {jaytraffic.Route{Kind: jaytraffic.KindStream}, false},
+		"resumable stream": {jaytraffic.Route{Kind: jaytraffic.KindStream, Resumable: true}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := test.route.Repeatable(); got != test.want {
+				t.Errorf("repeatable = %v, want %v", got, test.want)
+			}
+		})
+	}
+}
