Queue and sample log lines, serve metrics, reload settings

Cause: on-call engineers have logs and metrics only, and a log must not hold up work. Change: jaysink queues lines and samples routine ones by request; counters and latency histograms on the metrics address; settings are read again on SIGHUP and where the file changed.

--- a/jay/jayedge/adapter.go
+++ b/jay/jayedge/adapter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jayrelay"
 	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jaytraffic"
@@ -18,8 +19,8 @@
 
 // Adapter translates between the platform's formats and the product's types.
 type Adapter interface {
-	// Store returns a client of the store at an address.
-	Store(address string) Store
+	// Store returns a client of the store at an address, which counts its calls.
+	Store(address string, series *jaymetric.Exposition) Store
 	// Dialect returns the translation of headers.
 	Dialect() jayrelay.Dialect
 	// IsPolicy reports whether a key of the policy topic holds the traffic policy.
--- a/jay/jayedge/budget.go
+++ b/jay/jayedge/budget.go
@@ -25,6 +25,16 @@
 	return &budgets{bounds: bounds, members: 1, windows: make(map[string]*jaylimit.Window)}
 }
 
+// bound sets other bounds; what has been sent again so far still counts.
+func (b *budgets) bound(bounds Budget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bounds = bounds
+	for _, w := range b.windows {
+		w.Bound(budgetPart*bounds.Ratio, budgetPart*bounds.Extra)
+	}
+}
+
 // Earn counts a request for a service.
 func (b *budgets) Earn(service string) {
 	b.window(service).Earn(time.Now())
--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -53,6 +53,7 @@
 	self     jaymember.Member
 	log      *slog.Logger
 	metrics  *jaymetric.Set
+	series   *jaymetric.Exposition
 	policies *policies
 	placer   *placer
 	budgets  *budgets
@@ -62,6 +63,8 @@
 	group    *jaytask.Group
 	small    []*http.Server
 	leaving  atomic.Bool
+	// lifetime is how long callers may keep entry addresses, as a time.Duration.
+	lifetime atomic.Int64
 	members  atomic.Pointer[[]jaymember.Status]
 	// policyFeed follows the policy; told is the greatest version that another instance stated.
 	policyFeed atomic.Pointer[jaystore.Follower]
@@ -70,17 +73,18 @@
 
 // Start starts an instance and returns once it listens.
 func Start(settings Settings, adapter Adapter, log *slog.Logger) (*Edge, error) {
-	e := &Edge{settings: settings, log: log, metrics: jaymetric.NewSet(log), group: jaytask.NewGroup()}
+	e := &Edge{settings: settings, log: log, metrics: jaymetric.NewSet(log), series: jaymetric.NewExposition(), group: jaytask.NewGroup()}
 	e.self = jaymember.Member{
 		Name: settings.Name, Incarnation: uuid.NewString(), Address: settings.Caller, Peer: settings.Peer,
 		Region: settings.Region, Zone: settings.Zone, Config: -1,
 	}
 	e.members.Store(&[]jaymember.Status{})
+	e.lifetime.Store(int64(settings.Lifetime))
 	e.budgets = newBudgets(settings.Budget)
 	e.placer = newPlacer(adapter, jayplace.Place{Zone: settings.Zone, Region: settings.Region}, settings.Regions, log)
 	e.policies = &policies{adapter: adapter, log: log, changed: e.policyChanged}
 	e.pool = jaylink.NewPool(jaylink.NewDialer())
-	store := adapter.Store(settings.Store)
+	store := adapter.Store(settings.Store, e.series)
 	if err := e.listen(adapter, store); err != nil {
 		return nil, err
 	}
@@ -106,7 +110,7 @@
 	for _, m := range near {
 		addresses = append(addresses, m.Address)
 	}
-	return addresses, e.settings.Lifetime
+	return addresses, time.Duration(e.lifetime.Load())
 }
 
 // Ready reports whether the instance takes callers.
@@ -114,6 +118,14 @@
 	return !e.leaving.Load() && e.policies.Policy() != nil
 }
 
+// Reload puts changed settings into force as far as a running instance can.
+func (e *Edge) Reload(settings Settings) {
+	e.budgets.bound(settings.Budget)
+	e.lifetime.Store(int64(settings.Lifetime))
+	e.log.Info("settings reloaded", "lifetime", settings.Lifetime, "budget", settings.Budget, "level", settings.Level,
+		"restartNeeded", e.settings.fixed() != settings.fixed())
+}
+
 // State fills in the changing parts of the own statement.
 func (e *Edge) State(member *jaymember.Member) {
 	e.stand(member)
@@ -160,10 +172,13 @@
 func (e *Edge) listen(adapter Adapter, store Store) error {
 	relay := jayrelay.New(jayrelay.Parts{
 		Policies: e.policies, Placer: e.placer, Budget: e.budgets, Links: e.pool,
-		Dialect: adapter.Dialect(), Metrics: e.metrics, Log: e.log,
+		Dialect: adapter.Dialect(), Metrics: e.metrics, Series: e.series, Log: e.log,
 	})
 	listeners := make(map[string]net.Listener)
-	for _, address := range []string{e.settings.Caller, e.settings.Ready, e.settings.Entry, e.settings.Peer} {
+	for _, address := range []string{e.settings.Caller, e.settings.Ready, e.settings.Entry, e.settings.Peer, e.settings.Metric} {
+		if address == "" {
+			continue
+		}
 		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 		if err != nil {
 			return errors.WithStack(err)
@@ -173,6 +188,9 @@
 	e.server = jayrelay.NewServer(listeners[e.settings.Caller], relay, e.log)
 	e.serve(listeners[e.settings.Ready], adapter.ReadyHandler(e.Ready))
 	e.serve(listeners[e.settings.Entry], adapter.EntryHandler(e))
+	if listener, ok := listeners[e.settings.Metric]; ok {
+		e.serve(listener, e.metricHandler())
+	}
 	e.roster = jayroster.Start(jayroster.Parts{
 		Self: e.self, Source: e, Writer: store, Key: []byte(e.settings.PeerKey),
 		Listener: listeners[e.settings.Peer], Log: e.log, Changed: e.membersChanged,
--- /dev/null
+++ b/jay/jayedge/metric.go
@@ -0,0 +1,34 @@
+package jayedge
+
+import (
+	"net/http"
+
+	"github.com/uptrace/bunrouter"
+)
+
+// Paths of the metrics address.
+const (
+	// PathMetrics shows counters and histograms as text.
+	PathMetrics = "/metrics"
+	// PathVars shows the counters of the instance by expvar.
+	PathVars = "/vars"
+)
+
+// metricHandler serves the metrics address.
+func (e *Edge) metricHandler() http.Handler {
+	e.series.Gauge("policy_version", func() float64 {
+		if policy := e.policies.Policy(); policy != nil {
+			return float64(policy.Version)
+		}
+		return -1
+	})
+	e.series.Gauge("members", func() float64 { return float64(len(*e.members.Load())) })
+	e.series.Gauge("connections_opened", func() float64 { return float64(e.pool.Opened()) })
+	router := bunrouter.New()
+	router.Compat().GET(PathMetrics, e.series.ServeHTTP)
+	router.Compat().GET(PathVars, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(e.metrics.Map().String())) // The reader may have left.
+	})
+	return router
+}
--- a/jay/jayedge/settings.go
+++ b/jay/jayedge/settings.go
@@ -4,11 +4,13 @@
 	"log/slog"
 	"net/netip"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jayini"
+	"jayfield.example/jay/jaysink"
 )
 
 // Settings are the settings of an edge instance. They are immutable once read.
@@ -62,7 +64,7 @@
 // ReadSettings reads a settings file and checks it.
 func ReadSettings(file string) (Settings, error) {
 	s := Settings{
-		Lifetime: defaultLifetime, Grace: defaultGrace, Drain: defaultDrain, Memory: defaultMemory,
+		Lifetime: defaultLifetime, Grace: defaultGrace, Drain: defaultDrain, Memory: defaultMemory, Level: jaysink.LevelRoutine,
 		Budget:  Budget{Ratio: defaultRatio, Window: defaultWindow},
 		Regions: make(map[string]string),
 	}
@@ -100,6 +102,16 @@
 	return s, nil
 }
 
+// fixed returns the settings that take effect at a start only.
+func (s Settings) fixed() [9]string {
+	return [9]string{s.Name, s.Region, s.Zone, s.Caller, s.Ready, s.Entry, s.Peer, s.Metric, s.Store}
+}
+
+// Equal reports whether two settings are the same.
+func (s Settings) Equal(other Settings) bool {
+	return reflect.DeepEqual(s, other)
+}
+
 // table returns the fields of each section, bound to their place in s.
 func (s *Settings) table() map[string][]jayini.Field {
 	return map[string][]jayini.Field{
@@ -152,8 +164,12 @@
 
 func level(name string, target *slog.Level) jayini.Field {
 	return jayini.Field{Name: name, Set: func(value string) error {
+		if value == "routine" {
+			*target = jaysink.LevelRoutine
+			return nil
+		}
 		if err := target.UnmarshalText([]byte(value)); err != nil {
-			return errors.Errorf("%q is not one of debug, info, warn, error", value)
+			return errors.Errorf("%q is not one of debug, routine, info, warn, error", value)
 		}
 		return nil
 	}}
--- a/jay/jaylimit/window.go
+++ b/jay/jaylimit/window.go
@@ -31,6 +31,13 @@
 	return &Window{ratio: ratio, extra: extra, share: 1, slot: span / windowSlots, began: now}
 }
 
+// Bound sets other bounds.
+func (w *Window) Bound(ratio, extra float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ratio, w.extra = ratio, extra
+}
+
 // Earn counts a request.
 func (w *Window) Earn(now time.Time) {
 	w.mu.Lock()
--- a/jay/jayrelay/answer.go
+++ b/jay/jayrelay/answer.go
@@ -32,6 +32,7 @@
 // connection is cut, so that the answer does not look complete.
 func (x *exchange) fail(err error) {
 	x.logFailure(err)
+	x.measure(kindOf(err))
 	if jayerror.Is(err, KindGone) {
 		x.metrics.Add(jaymetric.CallerGone, 1)
 		panic(http.ErrAbortHandler)
@@ -63,6 +64,25 @@
 		"runs", x.runs, "sends", x.sends, "took", time.Since(x.began), "left", time.Until(x.deadline), "error", err)
 }
 
+// endServed is the end of a request whose answer the caller has whole.
+const endServed = "served"
+
+// kindOf returns the kind of a failure as the end of its request.
+func kindOf(err error) string {
+	var failed *Error
+	if errors.As(err, &failed) {
+		return string(failed.Kind)
+	}
+	return string(KindUnknown)
+}
+
+// measure counts the request by its end.
+func (x *exchange) measure(end string) {
+	route := jaymetric.Label{Name: "route", Value: x.route.Name}
+	x.series.Count("requests_total", route, jaymetric.Label{Name: "end", Value: end})
+	x.series.Observe("request_seconds", time.Since(x.began), route)
+}
+
 // malformed returns the failure of a request that no upstream gets.
 func (x *exchange) malformed(status int, cause error) error {
 	return jayerror.Wrap("admit", KindRequest, &answerError{status: status, cause: cause})
--- a/jay/jayrelay/plain.go
+++ b/jay/jayrelay/plain.go
@@ -11,6 +11,7 @@
 
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jayplace"
+	"jayfield.example/jay/jaysink"
 )
 
 // maxAnswer bounds a plain answer in bytes; it is held until it is whole.
@@ -32,6 +33,9 @@
 		}
 		if f == nil {
 			x.pass(answer, body)
+			x.log.Log(ctx, jaysink.LevelRoutine, "request served", jaysink.KeyRequest, x.call.ID, "route", x.route.Name,
+				"service", x.service, "policy", x.version, "upstream", choice.Upstream.ID, "status", answer.Status,
+				"wait", choice.Wait, "sends", x.sends, "took", time.Since(x.began))
 			return
 		}
 		if err := x.again(ctx, f); err != nil {
@@ -76,4 +80,5 @@
 		_, _ = x.writer.Write(body) // A caller that left is seen by the server.
 	}
 	x.metrics.Add(jaymetric.Completed, 1)
+	x.measure(endServed)
 }
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -65,6 +65,7 @@
 	links    Exchanger
 	dialect  Dialect
 	metrics  *jaymetric.Set
+	series   *jaymetric.Exposition
 	log      *slog.Logger
 }
 
@@ -76,6 +77,7 @@
 	Links    Exchanger
 	Dialect  Dialect
 	Metrics  *jaymetric.Set
+	Series   *jaymetric.Exposition
 	Log      *slog.Logger
 }
 
@@ -83,7 +85,7 @@
 func New(p Parts) *Relay {
 	return &Relay{
 		policies: p.Policies, placer: p.Placer, budget: p.Budget, links: p.Links,
-		dialect: p.Dialect, metrics: p.Metrics, log: p.Log,
+		dialect: p.Dialect, metrics: p.Metrics, series: p.Series, log: p.Log,
 	}
 }
 
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -10,6 +10,7 @@
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jayfleet"
 	"jayfield.example/jay/jaylink"
+	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jayplace"
 )
 
@@ -64,7 +65,7 @@
 	response, err := x.links.Exchange(ctx, to.Address, request)
 	if err != nil {
 		f := x.broken(ctx, err)
-		x.placer.End(to.ID, f.outcome, time.Since(at), x.route.Prompt)
+		x.ended(to, f.outcome, time.Since(at))
 		return nil, f
 	}
 	answer := &sent{Response: response, reply: x.dialect.Reply(response.Status, response.Header), upstream: to, at: at}
@@ -109,7 +110,13 @@
 
 // end tells the placer how the request ended at its upstream.
 func (x *exchange) end(a *sent, outcome jayplace.Outcome) {
-	x.placer.End(a.upstream.ID, outcome, time.Since(a.at), x.route.Prompt)
+	x.ended(a.upstream, outcome, time.Since(a.at))
+}
+
+// ended tells the placer how a send ended and counts it.
+func (x *exchange) ended(to jayfleet.Upstream, outcome jayplace.Outcome, took time.Duration) {
+	x.placer.End(to.ID, outcome, took, x.route.Prompt)
+	x.series.Count("sends_total", jaymetric.Label{Name: "upstream", Value: to.ID}, jaymetric.Label{Name: "outcome", Value: string(outcome)})
 }
 
 // again decides what follows a failed send: nil where the request is sent
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -14,6 +14,7 @@
 	"jayfield.example/jay/jaylink"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jayplace"
+	"jayfield.example/jay/jaysink"
 )
 
 // serveStream serves a request whose answer is a series of events. Where the
@@ -25,8 +26,7 @@
 	for {
 		f := s.attempt(ctx)
 		if f == nil {
-			x.metrics.Add(jaymetric.Completed, 1)
-			s.logServed()
+			s.served(ctx)
 			return
 		}
 		if err := x.again(ctx, f); err != nil {
@@ -42,8 +42,9 @@
 	// after is the id of the last event that the caller has, last the same as a number.
 	after string
 	last  int64
-	// any is set once the caller has an event of this answer, first is how long that took.
-	any      bool
+	// started is set once the caller has an event of this answer, first is how long that took,
+	// and numbered is set once one had an id.
+	started  bool
 	first    time.Duration
 	numbered bool
 	// choice and host are where the present attempt runs.
@@ -99,12 +100,19 @@
 	return s.relay(ctx, answer, func() { done(true) })
 }
 
-// logServed writes the line of a stream that the caller has whole.
-func (s *stream) logServed() {
-	s.log.Info("request served", "request", s.call.ID, "route", s.route.Name, "service", s.service, "policy", s.version,
-		"upstream", s.choice.Upstream.ID, "apart", s.choice.Apart, "host", s.host.ID, "cached", s.choice.Cached, "fetch", s.choice.Fetch,
-		"reading", s.choice.Reading, "priority", s.choice.Priority, "wait", s.choice.Wait, "sends", s.sends,
-		"first", s.first, "target", s.route.Target, "took", time.Since(s.began))
+// served counts a stream that the caller has whole and writes its line. An
+// error answer of the upstream has been counted as it was passed on.
+func (s *stream) served(ctx context.Context) {
+	if s.started {
+		s.metrics.Add(jaymetric.Completed, 1)
+		s.measure(endServed)
+		s.series.Observe("first_event_seconds", s.first, jaymetric.Label{Name: "route", Value: s.route.Name})
+	}
+	s.log.Log(ctx, jaysink.LevelRoutine, "request served", jaysink.KeyRequest, s.call.ID, "route", s.route.Name,
+		"service", s.service, "policy", s.version, "upstream", s.choice.Upstream.ID, "apart", s.choice.Apart,
+		"host", s.host.ID, "cached", s.choice.Cached, "fetch", s.choice.Fetch, "reading", s.choice.Reading,
+		"priority", s.choice.Priority, "wait", s.choice.Wait, "sends", s.sends, "first", s.first,
+		"target", s.route.Target, "took", time.Since(s.began))
 }
 
 // relay passes an answer on, event by event.
@@ -161,8 +169,8 @@
 
 // passEvent writes an event that the caller does not have yet.
 func (s *stream) passEvent(e event) error {
-	if !s.any {
-		s.any, s.first = true, time.Since(s.began)
+	if !s.started {
+		s.started, s.first = true, time.Since(s.began)
 	}
 	if e.id >= 0 {
 		if s.numbered && e.id <= s.last {
--- a/jayfieldd/internal/jaydaemon/edge.go
+++ b/jayfieldd/internal/jaydaemon/edge.go
@@ -8,11 +8,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jayedge"
+	"jayfield.example/jay/jaysink"
 	jayplatform "jayfield.example/platform"
 )
 
@@ -44,15 +46,23 @@
 		_, _ = fmt.Fprintln(stdout, "settings are valid")
 		return statusOK
 	}
-	log := slog.New(slog.NewTextHandler(stdout, &slog.HandlerOptions{Level: settings.Level, ReplaceAttr: plainError}))
-	if err := runEdge(settings, log); err != nil {
+	level := new(slog.LevelVar)
+	level.Set(settings.Level)
+	handler := jaysink.New(stdout, &slog.HandlerOptions{Level: level, ReplaceAttr: plainError})
+	defer handler.Close()
+	log := slog.New(handler)
+	if err := runEdge(*file, settings, level, log); err != nil {
 		log.Error("instance failed", "error", err)
 		return statusFailed
 	}
 	return statusOK
 }
 
-func runEdge(settings jayedge.Settings, log *slog.Logger) error {
+// settingsPause is the time between two looks at the settings file, which may change without a signal.
+const settingsPause = 2 * time.Second
+
+// runEdge runs an instance until it is told to stop.
+func runEdge(file string, settings jayedge.Settings, level *slog.LevelVar, log *slog.Logger) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -60,12 +70,32 @@
 	if err != nil {
 		return err //nolint:wrapcheck // It says what failed.
 	}
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			break
+	ticker := time.NewTicker(settingsPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				edge.Stop()
+				return nil
+			}
+		case <-ticker.C:
 		}
-		log.Info("settings reload asked for")
+		settings = reload(edge, file, settings, level, log)
+	}
+}
+
+// reload puts changed settings into force. Those that cannot be read change nothing.
+func reload(edge *jayedge.Edge, file string, settings jayedge.Settings, level *slog.LevelVar, log *slog.Logger) jayedge.Settings {
+	changed, err := jayedge.ReadSettings(file)
+	if err != nil {
+		log.Error("settings not reloaded; the former ones stay in force", "error", err)
+		return settings
+	}
+	if changed.Equal(settings) {
+		return settings
 	}
-	edge.Stop()
-	return nil
+	level.Set(changed.Level)
+	edge.Reload(changed)
+	return changed
 }
