--- /dev/null
+++ b/jayfieldd/internal/jaydaemon/soak_test.go
@@ -0,0 +1,386 @@
+package jaydaemon_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"jayfield.example/platform/jayplatformtest"
+)
+
+// A soak runs edge instances as processes before stand-ins of the platform,
+// injects faults from outside and checks what callers and engines see.
+// JAYFIELD_SOAK_SEED and JAYFIELD_SOAK_SEEDS choose the runs, JAYFIELD_SOAK_TIME
+// how long faults come in each.
+type soak struct {
+	t       *testing.T
+	random  *rand.Rand
+	store   *jayplatformtest.Store
+	server  *httptest.Server
+	ledger  *jayplatformtest.Ledger
+	engines []*jayplatformtest.Engine
+	edges   []*edge
+	dir     string
+	next    atomic.Int64
+	served  atomic.Int64
+	failed  atomic.Int64
+	broken  chan string
+}
+
+// edge is one instance, started again after its end.
+type edge struct {
+	mu       sync.Mutex
+	process  *exec.Cmd
+	settings string
+	caller   string
+	ready    string
+}
+
+const soakHost = "soak.example"
+
+func soakSetting(t *testing.T, name string, otherwise int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
+
+func TestSoak(t *testing.T) {
+	first := soakSetting(t, "JAYFIELD_SOAK_SEED", 1)
+	seconds := time.Duration(soakSetting(t, "JAYFIELD_SOAK_TIME", 6)) * time.Second
+	for seed := first; seed < first+soakSetting(t, "JAYFIELD_SOAK_SEEDS", 2); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := newSoak(t, uint64(seed))
+			s.settle("at the start")
+			ctx, cancel := context.WithTimeout(t.Context(), seconds)
+			defer cancel()
+			var callers sync.WaitGroup
+			for range 8 {
+				callers.Go(func() {
+					for ctx.Err() == nil {
+						s.call()
+					}
+				})
+			}
+			for ctx.Err() == nil {
+				s.fault()
+				time.Sleep(time.Duration(50+s.random.IntN(500)) * time.Millisecond)
+			}
+			callers.Wait()
+			s.mend()
+			s.settle("after all faults")
+			t.Logf("served %d, not served %d", s.served.Load(), s.failed.Load())
+			if s.served.Load() == 0 {
+				t.Error("nothing was served")
+			}
+			select {
+			case what := <-s.broken:
+				t.Error(what)
+			default:
+			}
+		})
+	}
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	t.Helper()
+	s := &soak{
+		t: t, random: rand.New(rand.NewPCG(seed, seed)), store: jayplatformtest.NewStore(),
+		ledger: jayplatformtest.NewLedger(), dir: t.TempDir(), broken: make(chan string, 1000),
+	}
+	s.server = httptest.NewServer(s.store.Handler())
+	t.Cleanup(s.server.Close)
+	t.Cleanup(s.server.CloseClientConnections)
+	for n, stage := range []string{"prefill", "decode", "decode", "decode", "", "", ""} {
+		spec := jayplatformtest.Spec{ID: fmt.Sprint("e", n), Service: "model", Zone: "z0", Stage: stage, Events: 12, Pause: 5 * time.Millisecond}
+		if stage == "" {
+			spec.Service, spec.Events = "desk", 0
+		}
+		e, err := jayplatformtest.NewEngine(spec, s.ledger)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Close)
+		s.engines = append(s.engines, e)
+		s.store.Put("keyed.servers", e.ID(), e.Entry("ready", 1))
+	}
+	s.publish(1)
+	for n := range 3 {
+		s.edges = append(s.edges, s.newEdge(n))
+	}
+	t.Cleanup(func() {
+		for _, e := range s.edges {
+			e.signal(syscall.SIGKILL)
+			_ = e.process.Wait()
+		}
+	})
+	return s
+}
+
+// publish writes a version of the configuration.
+func (s *soak) publish(version int) {
+	route := func(name, kind, service string, resumable bool, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": soakHost, "path_prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 3000,
+			"target_latency_ms": 500, "max_attempts": attempts, "resumable": resumable, "sticky": service == "model",
+		}
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []any{
+			route("talk", "streaming", "model", true, 3), route("plan", "streaming", "model", false, 1),
+			route("order", "non_idempotent", "desk", false, 1), route("look", "idempotent", "desk", false, 2),
+		},
+		"services": []any{map[string]any{"name": "model"}, map[string]any{"name": "desk"}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put("keyed.op", "config", data)
+}
+
+func (s *soak) newEdge(n int) *edge {
+	e := &edge{settings: filepath.Join(s.dir, fmt.Sprintf("edge%d.ini", n)), caller: freeAddress(), ready: freeAddress()}
+	text := fmt.Sprintf(`[instance]
+name = edge-%d
+region = r0
+zone = z0
+[listen]
+caller = %s
+ready = %s
+entry = %s
+peer = %s
+[store]
+address = %s
+[key]
+peer = a-key-of-all-instances
+[stop]
+grace = 4s
+[budget]
+extra = 50
+`, n, e.caller, e.ready, freeAddress(), freeAddress(), strings.TrimPrefix(s.server.URL, "http://"))
+	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	s.start(e)
+	return e
+}
+
+func (s *soak) start(e *edge) {
+	executable, err := os.Executable()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	e.process = exec.CommandContext(context.Background(), executable)
+	e.process.Args = []string{"jayfieldd", "edge", "--settings", e.settings}
+	if log, err := os.OpenFile(e.settings+".log", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600); err == nil {
+		e.process.Stdout, e.process.Stderr = log, log
+		defer log.Close()
+	}
+	if err := e.process.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (e *edge) signal(sig syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.process.Process.Signal(sig)
+}
+
+// restart ends an instance by a signal and starts it again.
+func (s *soak) restart(e *edge, sig syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.process.Process.Signal(sig)
+	_ = e.process.Process.Signal(syscall.SIGCONT)
+	_ = e.process.Wait()
+	s.start(e)
+}
+
+// fault injects one fault; faults overlap.
+func (s *soak) fault() {
+	e := s.edges[s.random.IntN(len(s.edges))]
+	engine := s.engines[s.random.IntN(len(s.engines))]
+	modes := []jayplatformtest.Mode{jayplatformtest.ModeBusy, jayplatformtest.ModeSilent, jayplatformtest.ModeLost, jayplatformtest.ModeUp}
+	faults := []jayplatformtest.Fault{jayplatformtest.FaultReset, jayplatformtest.FaultShed, jayplatformtest.FaultMute, jayplatformtest.FaultNone}
+	kind := s.random.IntN(9)
+	mode, bad := modes[s.random.IntN(len(modes))], faults[s.random.IntN(len(faults))]
+	switch kind {
+	case 0:
+		s.restart(e, syscall.SIGKILL)
+	case 1:
+		go s.restart(e, syscall.SIGTERM)
+	case 2:
+		e.signal(syscall.SIGSTOP)
+		time.AfterFunc(time.Duration(100+s.random.IntN(1500))*time.Millisecond, func() { e.signal(syscall.SIGCONT) })
+	case 3:
+		s.store.Treat(mode)
+	case 4:
+		s.store.Forget()
+	case 5, 6:
+		engine.Fail(bad)
+	case 7:
+		s.store.Put("keyed.servers", engine.ID(), engine.Entry([]string{"ready", "draining"}[s.random.IntN(2)], int(s.next.Add(1))+1))
+	case 8:
+		s.store.Put("keyed.servers", "odd", []byte("\x00 no entry"))
+		e.signal(syscall.SIGHUP)
+	}
+}
+
+// mend ends all faults.
+func (s *soak) mend() {
+	s.store.Treat(jayplatformtest.ModeUp)
+	for _, e := range s.edges {
+		e.signal(syscall.SIGCONT)
+	}
+	for _, engine := range s.engines {
+		engine.Fail(jayplatformtest.FaultNone)
+		s.store.Put("keyed.servers", engine.ID(), engine.Entry("ready", int(s.next.Add(1))+1))
+	}
+}
+
+// settle waits until each instance is ready and serves each route.
+func (s *soak) settle(when string) {
+	for _, e := range s.edges {
+		until(s.t, "an instance that serves "+when, func() bool {
+			response, err := http.Get("http://" + e.ready + "/v1/ready")
+			if err != nil {
+				return false
+			}
+			response.Body.Close()
+			if response.StatusCode != http.StatusOK {
+				return false
+			}
+			for _, route := range []string{"talk", "plan", "order", "look"} {
+				if status, _ := s.send(e, route); status != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// call sends one request and checks its answer.
+func (s *soak) call() {
+	e := s.edges[rand.IntN(len(s.edges))]
+	route := []string{"talk", "plan", "order", "look"}[rand.IntN(4)]
+	if status, _ := s.send(e, route); status == http.StatusOK {
+		s.served.Add(1)
+	} else {
+		s.failed.Add(1)
+	}
+}
+
+// send sends a request of a route. It returns the status, 0 where there was no whole answer.
+func (s *soak) send(e *edge, route string) (int, error) {
+	id := fmt.Sprint("q", s.next.Add(1))
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.caller+"/"+route+"/x", strings.NewReader("body of "+id))
+	if err != nil {
+		return 0, err
+	}
+	r.Host = soakHost
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "3500")
+	if route == "talk" || route == "plan" {
+		r.Header.Set("Token-Counts", "900,80")
+		r.Header.Set("Prompt-Prefix", fmt.Sprintf("part%d:500,%s:400", rand.IntN(20), id))
+	}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, response.Body)
+		s.checkRefusal(id, route, response.StatusCode)
+		return response.StatusCode, nil
+	}
+	if route == "talk" || route == "plan" {
+		err = s.checkStream(id, response.Body)
+	} else {
+		err = s.checkPlain(id, response.Body)
+	}
+	s.checkRuns(id, route)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, nil
+}
+
+func (s *soak) breach(format string, args ...any) {
+	select {
+	case s.broken <- fmt.Sprintf(format, args...):
+	default:
+	}
+}
+
+// checkRefusal checks that a request said not to have run did not.
+func (s *soak) checkRefusal(id, route string, status int) {
+	notRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	if runs := s.ledger.Runs(id); notRun && len(runs) > 0 && (route == "order" || route == "plan") {
+		s.breach("%s of route %s was refused with %d and ran: %v", id, route, status, runs)
+	}
+	s.checkRuns(id, route)
+}
+
+// checkRuns checks that work that may not be repeated ran once at most.
+func (s *soak) checkRuns(id, route string) {
+	if runs := s.ledger.Runs(id); len(runs) > 1 && (route == "order" || route == "plan") {
+		s.breach("%s of route %s ran more than once: %v", id, route, runs)
+	}
+}
+
+func (s *soak) checkPlain(id string, body io.Reader) error {
+	data, err := io.ReadAll(body)
+	if err == nil && string(data) != "answer to "+id {
+		s.breach("%s got %q", id, data)
+	}
+	return err
+}
+
+// checkStream checks that a stream that looks complete has each event once, in order.
+func (s *soak) checkStream(id string, body io.Reader) error {
+	scanner := bufio.NewScanner(body)
+	number := 0
+	for scanner.Scan() {
+		line := scanner.Text()
+		if value, ok := strings.CutPrefix(line, "id: "); ok {
+			if number++; value != strconv.Itoa(number) {
+				s.breach("%s got event %s as number %d", id, value, number)
+			}
+		}
+		if value, ok := strings.CutPrefix(line, "data: "); ok && value != id {
+			s.breach("%s got data of %s", id, value)
+		}
+	}
+	if scanner.Err() == nil && number != 12 {
+		s.breach("%s looks complete with %d of 12 events", id, number)
+	}
+	return scanner.Err()
+}
