Take SIGHUP from the first step of the process on, clear the linter's findings

Change: handlers are set first; the soak sends SIGHUP to instances that listen, since before any code of ours runs the signal ends every process.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,4 @@
-# Programs and their folders have the same names, so "go build ./NAME" writes NAME.bin.
-MODULES := jay jayfieldd jayfield jaybench
+MODULES := jay platform jayfieldd jayfield jaybench
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINT_VERSION := v2.15.0
 LINT := $(CURDIR)/bin/golangci-lint
--- a/jay/jayfleet/fleet_test.go
+++ b/jay/jayfleet/fleet_test.go
@@ -11,8 +11,9 @@
 )
 
 func ids(f *jayfleet.Fleet) []string {
-	list := []string{}
-	for _, u := range f.Available() {
+	available := f.Available()
+	list := make([]string, 0, len(available))
+	for _, u := range available {
 		list = append(list, u.ID)
 	}
 	return list
--- a/jay/jaylink/conn.go
+++ b/jay/jaylink/conn.go
@@ -51,7 +51,7 @@
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, err := syscall.Read(int(fd), one[:])
-		empty = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK //nolint:errorlint // The call returns the number itself.
+		empty = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
 		return true
 	})
 	return err == nil && empty
--- a/jay/jaylink/exchange.go
+++ b/jay/jaylink/exchange.go
@@ -61,7 +61,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := c.send(request)
-	response, err := c.receive(request)
+	response, err := c.receive(request) //nolint:bodyclose // Response.Close and Complete end it.
 	if err != nil {
 		stop()
 		_ = c.Close()
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -62,9 +62,8 @@
 
 // Read says that an engine has read a part of prompts; both are hashes of their names.
 type Read struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Upstream uint32
-	Part     uint32
+	Upstream uint32 `msgpack:"u"`
+	Part     uint32 `msgpack:"p"`
 }
 
 // Plus returns the sum of two demands.
--- a/jay/jayplace/place_test.go
+++ b/jay/jayplace/place_test.go
@@ -16,7 +16,7 @@
 // engines returns a table of an instance in zone z0 with engines spread over three zones.
 func engines(prefill, decode int) *jayplace.Table {
 	table := jayplace.NewTable(jayplace.Place{Zone: "z0", Region: "r0"}, map[string]string{"z0": "r0", "z1": "r1", "z2": "r2"})
-	var list []jayfleet.Upstream
+	list := make([]jayfleet.Upstream, 0, prefill+decode)
 	for i := range prefill + decode {
 		u := jayfleet.Upstream{
 			ID: fmt.Sprintf("e%02d", i), Service: "model", Address: fmt.Sprintf("10.0.0.%d:80", i+1),
--- a/jay/jayroster/feed.go
+++ b/jay/jayroster/feed.go
@@ -162,16 +162,7 @@
 // watch chooses the watcher of the zone: the instance with the least
 // incarnation among those that neither leave nor are silent.
 func (r *Roster) watch(self jaymember.Member, members []jaymember.Status) {
-	var least *jaymember.Status
-	for i := range members {
-		m := &members[i]
-		if m.Zone != self.Zone || m.Silent || m.Leaving {
-			continue
-		}
-		if least == nil || m.Incarnation < least.Incarnation {
-			least = m
-		}
-	}
+	least := leastOf(self.Zone, members)
 	watching := least == nil || self.Incarnation < least.Incarnation && !self.Leaving
 	if watching {
 		least = nil
@@ -183,3 +174,19 @@
 		r.log.Info("watcher of the zone", "zone", self.Zone, "self", watching)
 	}
 }
+
+// leastOf returns the member of a zone with the least incarnation that neither
+// leaves nor is silent, nil where there is none.
+func leastOf(zone string, members []jaymember.Status) *jaymember.Status {
+	var least *jaymember.Status
+	for i := range members {
+		m := &members[i]
+		if m.Zone != zone || m.Silent || m.Leaving {
+			continue
+		}
+		if least == nil || m.Incarnation < least.Incarnation {
+			least = m
+		}
+	}
+	return least
+}
--- a/jay/jayroster/roster_test.go
+++ b/jay/jayroster/roster_test.go
@@ -19,7 +19,6 @@
 	mu      sync.Mutex
 	records []jaystore.Record
 	reads   map[string]int
-	down    bool
 }
 
 func (s *store) Put(_ context.Context, _ jaystore.Topic, key string, value []byte) error {
--- a/jay/jaysink/handler.go
+++ b/jay/jaysink/handler.go
@@ -52,6 +52,14 @@
 	queue *queue
 }
 
+// LevelName names the routine level in a line; it is a ReplaceAttr function.
+func LevelName(_ []string, attr slog.Attr) slog.Attr {
+	if level, ok := attr.Value.Any().(slog.Level); ok && attr.Key == slog.LevelKey && level == LevelRoutine {
+		attr.Value = slog.StringValue("ROUTINE")
+	}
+	return attr
+}
+
 // New returns a handler that writes lines of key=value pairs to an output.
 func New(output io.Writer, options *slog.HandlerOptions) *Handler {
 	q := &queue{lines: make(chan []byte, queueSize), group: jaytask.NewGroup()}
--- a/jayfieldd/internal/jaydaemon/edge.go
+++ b/jayfieldd/internal/jaydaemon/edge.go
@@ -23,6 +23,10 @@
 
 // edgeMain runs an edge instance with its arguments and returns the exit status.
 func edgeMain(args []string, stdout, stderr io.Writer) int {
+	// A SIGHUP that comes before the instance has started must not end the process.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	flags := flag.NewFlagSet("jayfieldd edge", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	file := flags.String("settings", "", "settings `file`; JAYFIELD_SETTINGS names it too")
@@ -48,24 +52,26 @@
 	}
 	level := new(slog.LevelVar)
 	level.Set(settings.Level)
-	handler := jaysink.New(stdout, &slog.HandlerOptions{Level: level, ReplaceAttr: plainError})
+	handler := jaysink.New(stdout, &slog.HandlerOptions{Level: level, ReplaceAttr: edgeAttr})
 	defer handler.Close()
 	log := slog.New(handler)
-	if err := runEdge(*file, settings, level, log); err != nil {
+	if err := runEdge(*file, settings, signals, level, log); err != nil {
 		log.Error("instance failed", "error", err)
 		return statusFailed
 	}
 	return statusOK
 }
 
+// edgeAttr writes errors without their stacks and names the routine level.
+func edgeAttr(groups []string, attr slog.Attr) slog.Attr {
+	return jaysink.LevelName(groups, plainError(groups, attr))
+}
+
 // settingsPause is the time between two looks at the settings file, which may change without a signal.
 const settingsPause = 2 * time.Second
 
 // runEdge runs an instance until it is told to stop.
-func runEdge(file string, settings jayedge.Settings, level *slog.LevelVar, log *slog.Logger) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func runEdge(file string, settings jayedge.Settings, signals <-chan os.Signal, level *slog.LevelVar, log *slog.Logger) error {
 	edge, err := jayedge.Start(settings, jayplatform.NewAdapter(), log)
 	if err != nil {
 		return err //nolint:wrapcheck // It says what failed.
--- a/jayfieldd/internal/jaydaemon/soak_test.go
+++ b/jayfieldd/internal/jaydaemon/soak_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -26,7 +27,8 @@
 // A soak runs edge instances as processes before stand-ins of the platform,
 // injects faults from outside and checks what callers and engines see.
 // JAYFIELD_SOAK_SEED and JAYFIELD_SOAK_SEEDS choose the runs, JAYFIELD_SOAK_TIME
-// how long faults come in each.
+// how many seconds faults come in each, and JAYFIELD_SOAK_LOGS a folder for the
+// logs of a failed run.
 type soak struct {
 	t       *testing.T
 	random  *rand.Rand
@@ -133,6 +135,7 @@
 		for _, e := range s.edges {
 			e.signal(syscall.SIGKILL)
 			_ = e.process.Wait()
+			s.keepLog(e)
 		}
 	})
 	return s
@@ -210,6 +213,21 @@
 	_ = e.process.Process.Signal(sig)
 }
 
+// keepLog copies the log of an instance out of a failed run.
+func (s *soak) keepLog(e *edge) {
+	folder := os.Getenv("JAYFIELD_SOAK_LOGS")
+	if !s.t.Failed() || folder == "" {
+		return
+	}
+	data, err := os.ReadFile(e.settings + ".log")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(folder, filepath.Base(e.settings)+".log"), data, 0o600)
+	}
+	if err != nil {
+		s.t.Log("log not kept: ", err)
+	}
+}
+
 // restart ends an instance by a signal and starts it again.
 func (s *soak) restart(e *edge, sig syscall.Signal) {
 	e.mu.Lock()
@@ -246,7 +264,11 @@
 		s.store.Put("keyed.servers", engine.ID(), engine.Entry([]string{"ready", "draining"}[s.random.IntN(2)], int(s.next.Add(1))+1))
 	case 8:
 		s.store.Put("keyed.servers", "odd", []byte("\x00 no entry"))
-		e.signal(syscall.SIGHUP)
+		// Before the program has set its handlers, the signal ends any process.
+		if conn, err := net.Dial("tcp", e.ready); err == nil {
+			conn.Close()
+			e.signal(syscall.SIGHUP)
+		}
 	}
 }
 
