Tell a request's history from logs; name the upstreams that were tried

Cause: the line of a request that was not served named no upstream, so that the way from its id to its cause needed other lines.

--- a/jay/jayrelay/answer.go
+++ b/jay/jayrelay/answer.go
@@ -61,7 +61,7 @@
 func (x *exchange) logFailure(err error) {
 	x.log.Info("request not served",
 		"request", x.call.ID, "route", x.route.Name, "service", x.service, "policy", x.version,
-		"runs", x.runs, "sends", x.sends, "took", time.Since(x.began), "left", time.Until(x.deadline), "error", err)
+		"upstreams", x.tried, "runs", x.runs, "sends", x.sends, "took", time.Since(x.began), "left", x.left(), "error", err)
 }
 
 // endServed is the end of a request whose answer the caller has whole.
@@ -83,6 +83,14 @@
 	x.series.Observe("request_seconds", time.Since(x.began), route)
 }
 
+// left returns the time that the caller still waits, 0 before it is known.
+func (x *exchange) left() time.Duration {
+	if x.deadline.IsZero() {
+		return 0
+	}
+	return time.Until(x.deadline)
+}
+
 // malformed returns the failure of a request that no upstream gets.
 func (x *exchange) malformed(status int, cause error) error {
 	return jayerror.Wrap("admit", KindRequest, &answerError{status: status, cause: cause})
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -128,8 +128,9 @@
 	service string
 	version int64
 	body    []byte
-	// avoid holds the upstreams that the request was sent to, runs counts those that may
-	// have run it, sends all, and reads the prompts read for it.
+	// tried lists the upstreams that the request was sent to, and avoid holds them as a set;
+	// runs counts those that may have run it, sends all, and reads the prompts read for it.
+	tried              []string
 	avoid              map[string]bool
 	runs, sends, reads int
 	// headed is set once the caller has the header of the answer.
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -60,6 +60,7 @@
 	}
 	x.sends++
 	x.avoid[to.ID] = true
+	x.tried = append(x.tried, to.ID)
 	at := time.Now()
 	x.placer.Start(to.ID)
 	response, err := x.links.Exchange(ctx, to.Address, request)
@@ -152,5 +153,5 @@
 // logAgain writes the line of a request that is sent once more.
 func (x *exchange) logAgain(f *failure) {
 	x.log.Info("request sent again", "request", x.call.ID, "route", x.route.Name, "service", x.service,
-		"ran", f.ran, "outcome", f.outcome, "sends", x.sends, "left", time.Until(x.deadline), "error", f.cause)
+		"upstreams", x.tried, "ran", f.ran, "outcome", f.outcome, "sends", x.sends, "left", time.Until(x.deadline), "error", f.cause)
 }
