--- a/jayfieldd/internal/jaydaemon/soak_test.go
+++ b/jayfieldd/internal/jaydaemon/soak_test.go
@@ -213,6 +213,19 @@
 	_ = e.process.Process.Signal(sig)
 }
 
+// hangUp sends SIGHUP to an instance that listens. Before the program has set
+// its handlers, the signal ends any process.
+func (e *edge) hangUp() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	conn, err := net.Dial("tcp", e.ready)
+	if err != nil {
+		return
+	}
+	conn.Close()
+	_ = e.process.Process.Signal(syscall.SIGHUP)
+}
+
 // keepLog copies the log of an instance out of a failed run.
 func (s *soak) keepLog(e *edge) {
 	folder := os.Getenv("JAYFIELD_SOAK_LOGS")
@@ -264,11 +277,7 @@
 		s.store.Put("keyed.servers", engine.ID(), engine.Entry([]string{"ready", "draining"}[s.random.IntN(2)], int(s.next.Add(1))+1))
 	case 8:
 		s.store.Put("keyed.servers", "odd", []byte("\x00 no entry"))
-		// Before the program has set its handlers, the signal ends any process.
-		if conn, err := net.Dial("tcp", e.ready); err == nil {
-			conn.Close()
-			e.signal(syscall.SIGHUP)
-		}
+		e.hangUp()
 	}
 }
 
