--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo:
 	go run ./jaybench demo
+	go run ./jaybench demo --platform
 
 test:
 	go vet $(PACKAGES)
--- a/jaybench/internal/jaycommand/democmd.go
+++ b/jaybench/internal/jaycommand/democmd.go
@@ -19,14 +19,18 @@
 // demo returns the command that shows the whole path in one process.
 func (c *config) demo() *ffcli.Command {
 	flags := c.flagSet("demo")
+	platform := flags.Bool("platform", false, "relay requests before stand-ins of the users' platform")
 	return &ffcli.Command{
 		Name:       "demo",
-		ShortUsage: "jaybench demo",
+		ShortUsage: "jaybench demo [--platform]",
 		ShortHelp:  "Run a site in one process and serve both users' requests",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
 			ctx, cancel := context.WithTimeout(ctx, demoBound)
 			defer cancel()
+			if *platform {
+				return c.runPlatformDemo(ctx)
+			}
 			return c.runDemo(ctx)
 		},
 	}
@@ -53,6 +57,20 @@
 	return nil
 }
 
+func (c *config) runPlatformDemo(ctx context.Context) error {
+	site, err := jaydemo.StartPlatform(ctx, c.log())
+	if err != nil {
+		return err
+	}
+	defer site.Stop()
+	results, failed := site.Run(ctx)
+	c.printResults(results)
+	if failed > 0 {
+		return errors.Errorf("%d answers were not whole or not the caller's own", failed)
+	}
+	return nil
+}
+
 func (c *config) printResults(results []jaydemo.Result) {
 	table := tablewriter.NewWriter(c.stdout)
 	table.Header("Caller", "Region", "Request", "Served by", "Tokens", "First", "Took", "Verdict")
--- a/jayfieldd/internal/jaydaemon/soak_test.go
+++ b/jayfieldd/internal/jaydaemon/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -21,6 +20,7 @@
 	"testing"
 	"time"
 
+	jayplatform "jayfield.example/platform"
 	"jayfield.example/platform/jayplatformtest"
 )
 
@@ -125,7 +125,7 @@
 		}
 		t.Cleanup(e.Close)
 		s.engines = append(s.engines, e)
-		s.store.Put("keyed.servers", e.ID(), e.Entry("ready", 1))
+		s.store.Register(e, "ready", 1)
 	}
 	s.publish(1)
 	for n := range 3 {
@@ -141,27 +141,18 @@
 	return s
 }
 
-// publish writes a version of the configuration.
+// publish writes a configuration with a route of each kind.
 func (s *soak) publish(version int) {
-	route := func(name, kind, service string, resumable bool, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "host": soakHost, "path_prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 3000,
-			"target_latency_ms": 500, "max_attempts": attempts, "resumable": resumable, "sticky": service == "model",
-		}
-	}
-	data, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []any{
-			route("talk", "streaming", "model", true, 3), route("plan", "streaming", "model", false, 1),
-			route("order", "non_idempotent", "desk", false, 1), route("look", "idempotent", "desk", false, 2),
-		},
-		"services": []any{map[string]any{"name": "model"}, map[string]any{"name": "desk"}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	const timeout = 3 * time.Second
+	err := s.store.Publish(version, soakHost,
+		jayplatformtest.Route{Name: "talk", Kind: jayplatformtest.KindStream, Service: "model", Prompt: true, Resumable: true, Attempts: 3, Timeout: timeout},
+		jayplatformtest.Route{Name: "plan", Kind: jayplatformtest.KindStream, Service: "model", Prompt: true, Attempts: 1, Timeout: timeout},
+		jayplatformtest.Route{Name: "order", Kind: jayplatformtest.KindOnce, Service: "desk", Attempts: 1, Timeout: timeout},
+		jayplatformtest.Route{Name: "look", Kind: jayplatformtest.KindIdempotent, Service: "desk", Attempts: 2, Timeout: timeout},
+	)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.store.Put("keyed.op", "config", data)
 }
 
 func (s *soak) newEdge(n int) *edge {
@@ -274,9 +265,9 @@
 	case 5, 6:
 		engine.Fail(bad)
 	case 7:
-		s.store.Put("keyed.servers", engine.ID(), engine.Entry([]string{"ready", "draining"}[s.random.IntN(2)], int(s.next.Add(1))+1))
+		s.store.Register(engine, []string{"ready", "draining"}[s.random.IntN(2)], int(s.next.Add(1))+1)
 	case 8:
-		s.store.Put("keyed.servers", "odd", []byte("\x00 no entry"))
+		s.store.Scribble()
 		e.hangUp()
 	}
 }
@@ -289,7 +280,7 @@
 	}
 	for _, engine := range s.engines {
 		engine.Fail(jayplatformtest.FaultNone)
-		s.store.Put("keyed.servers", engine.ID(), engine.Entry("ready", int(s.next.Add(1))+1))
+		s.store.Register(engine, "ready", int(s.next.Add(1))+1)
 	}
 }
 
@@ -297,7 +288,7 @@
 func (s *soak) settle(when string) {
 	for _, e := range s.edges {
 		until(s.t, "an instance that serves "+when, func() bool {
-			response, err := http.Get("http://" + e.ready + "/v1/ready")
+			response, err := http.Get("http://" + e.ready + jayplatform.PathReady)
 			if err != nil {
 				return false
 			}
@@ -331,17 +322,14 @@
 	id := fmt.Sprint("q", s.next.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.caller+"/"+route+"/x", strings.NewReader("body of "+id))
+	call := jayplatformtest.Call{ID: id, Patience: 3500 * time.Millisecond}
+	if route == "talk" || route == "plan" {
+		call.Shared, call.SharedTokens, call.OwnTokens, call.OutputTokens = fmt.Sprint("part", rand.IntN(20)), 500, 400, 80
+	}
+	r, err := jayplatformtest.NewRequest(ctx, e.caller, soakHost, "/"+route+"/x", "body of "+id, call)
 	if err != nil {
 		return 0, err
 	}
-	r.Host = soakHost
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "3500")
-	if route == "talk" || route == "plan" {
-		r.Header.Set("Token-Counts", "900,80")
-		r.Header.Set("Prompt-Prefix", fmt.Sprintf("part%d:500,%s:400", rand.IntN(20), id))
-	}
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return 0, err
