Eject an engine for two silences in a row, not for one

Cause: at the crest a sound engine lets single requests wait beyond their time; each moved the homes of its parts for half a second.

--- a/jay/jayplace/health.go
+++ b/jay/jayplace/health.go
@@ -33,6 +33,9 @@
 	// failShare is the share of failed answers from which an upstream is ejected.
 	// Sound plain services fail up to one in seven by the users' letter.
 	failShare = 0.5
+	// silencesToEject is the number of requests in a row without an answer from which an
+	// upstream is ejected: at the crest a sound engine lets single ones wait too long.
+	silencesToEject = 2
 )
 
 // health is what the outcomes of requests say of an upstream.
@@ -40,6 +43,8 @@
 	// ejected is until when the upstream gets no new work.
 	ejected  time.Time
 	ejection time.Duration
+	// silences counts the requests without an answer since the last that was served.
+	silences int
 	// failing is a moving share of failed requests.
 	failing float64
 }
@@ -49,6 +54,7 @@
 	switch outcome {
 	case OutcomeServed:
 		h.failing -= weightNew * h.failing
+		h.silences = 0
 		if !now.Before(h.ejected) {
 			h.ejection = 0
 		}
@@ -58,7 +64,13 @@
 		return false
 	case OutcomeGone:
 		return false
-	case OutcomeUnreachable, OutcomeSilent, OutcomeMoved:
+	case OutcomeSilent:
+		if h.silences++; h.silences < silencesToEject {
+			return false
+		}
+		h.failing += weightNew * (1 - h.failing)
+		return h.eject(now)
+	case OutcomeUnreachable, OutcomeMoved:
 		h.failing += weightNew * (1 - h.failing)
 		return h.eject(now)
 	case OutcomeFailed, OutcomeBroken:
