Ask all listed instances where there are few

Cause: TestRoster failed in two of its runs here (instance 3 never knew all others): since seeds of a zone were no longer asked once one of its members was known, two instances of five could stay unknown to each other, as nobody passes statements on among few. Change: the limit holds only among many, which goes by the store's list on all instances.

--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -33,7 +33,7 @@
 // carries as much.
 func (s *state) contacts(members []jaymember.Status) map[string]string {
 	self := s.view.Self()
-	chosen, few := members, len(members) <= meshSize
+	chosen, few := members, !s.many(members)
 	if !few {
 		chosen = jaymember.Contacts(self, members)
 	}
@@ -56,10 +56,17 @@
 	return contacts
 }
 
+// many reports whether there are so many instances that statements are passed
+// on. All go by the store's list, as they know different parts of each other at first.
+func (s *state) many(members []jaymember.Status) bool {
+	return max(len(members), len(s.listed)-1) > meshSize
+}
+
 // seeds returns listed instances that have made no statement yet and are to be
-// asked now: those of the own zone, and some of each zone of which none is known.
+// asked now: all where there are few, since nobody passes on what it heard; else
+// those of the own zone, and some of each zone of which none is known.
 func (s *state) seeds(members []jaymember.Status) []jaylist.Instance {
-	known, zones := make(map[string]bool), make(map[string]int)
+	known, zones, many := make(map[string]bool), make(map[string]int), s.many(members)
 	for _, m := range members {
 		known[m.Incarnation] = true
 		if !m.Silent {
@@ -69,7 +76,7 @@
 	var seeds []jaylist.Instance
 	for _, seed := range s.view.Seeds() {
 		near := seed.Zone == s.view.Self().Zone
-		if known[seed.Incarnation] || !near && zones[seed.Zone] >= seedsPerZone {
+		if known[seed.Incarnation] || many && !near && zones[seed.Zone] >= seedsPerZone {
 			continue
 		}
 		zones[seed.Zone]++
@@ -140,7 +147,7 @@
 	self := s.view.Self()
 	all := digest{Zone: self.Zone, Statements: []jaymember.Member{self}}
 	members := s.view.Members()
-	if len(members) > meshSize {
+	if s.many(members) {
 		near := zone == self.Zone
 		if !near {
 			all.Statements[0] = brief(self)
