Spend no budget where no upstream takes a request; read the watcher once

Cause, found in reading the diff: a stream for which no upstream was known looped and spent the budget of requests sent again, one for each try, until it was refused; and the watcher was read twice, which could be nil the second time. Change: such a request is refused at once; the address comes with the check; fields and methods that nothing uses are gone; the memory limit guides the collector.

--- a/jay/jayfleet/fleet.go
+++ b/jay/jayfleet/fleet.go
@@ -130,11 +130,6 @@
 	return gone
 }
 
-// Size returns the number of entries.
-func (f *Fleet) Size() int {
-	return len(f.entries)
-}
-
 // replaces reports whether the entry is the present holder of an address that both name.
 func (e *entry) replaces(other *entry) bool {
 	if e.upstream.Born != other.upstream.Born {
--- a/jay/jayplace/home.go
+++ b/jay/jayplace/home.go
@@ -13,8 +13,7 @@
 
 const (
 	// prefillWeight is how many more shared parts have their home at an engine that reads
-	// prompts for others than at one that also gives answers. Both kinds are read that
-	// much faster there that the same time is spent.
+	// prompts for others than at one that also gives answers: it reads over twice as fast.
 	prefillWeight = 2.0
 	// largePrompt is the size in tokens from which that weight doubles, and below a quarter
 	// of which it halves: large prompts gain the most from the faster reading.
--- a/jay/jayplace/place_test.go
+++ b/jay/jayplace/place_test.go
@@ -34,7 +34,6 @@
 func prompt(id, shared string, own int) jayplace.Work {
 	return jayplace.Work{
 		ID: id, Service: "model", Prompt: true, Shared: shared, SharedTokens: 13_000, OwnTokens: own,
-		Target: 600 * time.Millisecond, Left: 5 * time.Second,
 	}
 }
 
--- a/jay/jayplace/table.go
+++ b/jay/jayplace/table.go
@@ -52,11 +52,6 @@
 	}
 }
 
-// Size returns the number of upstreams of a service that take new work.
-func (t *Table) Size(service string) int {
-	return len(t.services[service])
-}
-
 // Choose returns where the work goes now, or an error that says why nowhere.
 // Every choice that is used must be told with Start and End.
 func (t *Table) Choose(now time.Time, w Work) (Choice, error) {
--- a/jay/jayplace/work.go
+++ b/jay/jayplace/work.go
@@ -17,13 +17,8 @@
 // Kind classifies a refusal.
 type Kind string
 
-// Kinds of refusals.
-const (
-	// KindNone says that no upstream of the service may take the work.
-	KindNone Kind = "none"
-	// KindLate says that the answer would come after the caller's time.
-	KindLate Kind = "late"
-)
+// KindNone says that no upstream of the service may take the work.
+const KindNone Kind = "none"
 
 // Error is the error type of the package.
 type Error = jayerror.Error[Kind]
@@ -40,11 +35,6 @@
 	// SharedTokens, OwnTokens and OutputTokens are the sizes of that part, of the rest of
 	// the prompt and of the longest answer.
 	SharedTokens, OwnTokens, OutputTokens int
-	// Target is the time in which an answer is on time, Waited what of it has passed and
-	// Left how long the caller still waits.
-	Target, Waited, Left time.Duration
-	// Rank is the rank of the route, 0 the highest.
-	Rank int
 	// Avoid holds the ids of upstreams that the request has been sent to.
 	Avoid map[string]bool
 }
--- a/jay/jayrelay/plain.go
+++ b/jay/jayrelay/plain.go
@@ -21,7 +21,7 @@
 func (x *exchange) servePlain(ctx context.Context) {
 	x.budget.Earn(x.service)
 	for {
-		choice, err := x.placer.Choose(ctx, x.work(time.Now()))
+		choice, err := x.placer.Choose(ctx, x.work())
 		if err != nil {
 			x.fail(x.giveUp(err))
 			return
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -205,11 +205,8 @@
 }
 
 // work describes the request to the placer.
-func (x *exchange) work(now time.Time) jayplace.Work {
-	w := jayplace.Work{
-		ID: x.call.ID, Service: x.service, Target: x.route.Target, Waited: now.Sub(x.began), Left: x.deadline.Sub(now),
-		Rank: x.route.Priority, Avoid: x.avoid,
-	}
+func (x *exchange) work() jayplace.Work {
+	w := jayplace.Work{ID: x.call.ID, Service: x.service, Avoid: x.avoid}
 	if p := x.call.Prompt; p != nil && x.route.Prompt {
 		w.Prompt = true
 		w.Shared, w.SharedTokens, w.OwnTokens, w.OutputTokens = p.Shared, p.SharedTokens, p.OwnTokens, p.OutputTokens
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -37,7 +37,9 @@
 type failure struct {
 	cause error
 	// ran is set where the request may have run.
-	ran     bool
+	ran bool
+	// nowhere is set where no upstream takes the request; nothing was sent.
+	nowhere bool
 	outcome jayplace.Outcome
 }
 
@@ -132,6 +134,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return x.overdue(f.cause)
+	case f.nowhere:
+		return x.giveUp(f.cause)
 	case f.ran && !x.route.Repeatable():
 		return x.unknown(f.cause)
 	case x.runs >= max(1, x.route.Attempts) || x.sends >= maxSends:
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -55,10 +55,10 @@
 // attempt places the request and passes on what its upstream gives. It
 // returns nil once the caller has the whole answer.
 func (s *stream) attempt(ctx context.Context) *failure {
-	w := s.work(time.Now())
+	w := s.work()
 	choice, err := s.placer.Choose(ctx, w)
 	if err != nil {
-		return &failure{cause: err, outcome: jayplace.OutcomeRefused}
+		return &failure{cause: err, nowhere: true}
 	}
 	s.placer.Reading(choice)
 	read := false
@@ -87,8 +87,8 @@
 				go s.release(choice.Upstream, kv)
 			}
 		}()
-		if host, err = s.placer.Host(ctx, s.work(time.Now()), choice.Upstream); err != nil {
-			return &failure{cause: err, outcome: jayplace.OutcomeRefused}
+		if host, err = s.placer.Host(ctx, s.work(), choice.Upstream); err != nil {
+			return &failure{cause: err, nowhere: true}
 		}
 	}
 	answer, f := s.send(ctx, host, send)
--- a/jay/jayroster/feed.go
+++ b/jay/jayroster/feed.go
@@ -53,8 +53,10 @@
 
 // Newest returns the newest record of each key.
 func (f *Feed) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
-	if list, next, ok := f.ask(ctx, -1); ok {
-		return list, next, nil
+	if watcher, _, _, ok := f.roster.watched(f.topic, f.fresh); ok {
+		if list, next, ok := f.ask(ctx, watcher, -1); ok {
+			return list, next, nil
+		}
 	}
 	list, end, err := f.store.Newest(ctx, topic)
 	if err == nil {
@@ -67,7 +69,7 @@
 // some, or from the store.
 func (f *Feed) Read(ctx context.Context, topic jaystore.Topic, from int64, wait bool) ([]jaystore.Record, int64, error) {
 	for ctx.Err() == nil {
-		next, at, ok := f.roster.watched(f.topic, f.fresh)
+		watcher, next, at, ok := f.roster.watched(f.topic, f.fresh)
 		if !ok && f.roster.young() {
 			// The newest records have just been read, and the watcher is about to be known.
 			time.Sleep(feedLook)
@@ -77,7 +79,7 @@
 			break
 		}
 		if next > from {
-			if list, next, ok := f.ask(ctx, from); ok {
+			if list, next, ok := f.ask(ctx, watcher, from); ok {
 				f.mirror.Answered(at, next)
 				return list, next, nil
 			}
@@ -100,12 +102,8 @@
 	return list, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
 
-// ask asks the watcher for records. It reports false where it has none or does not answer.
-func (f *Feed) ask(ctx context.Context, from int64) ([]jaystore.Record, int64, bool) {
-	if _, _, ok := f.roster.watched(f.topic, f.fresh); !ok {
-		return nil, 0, false
-	}
-	address := f.roster.watcher.Load().Peer
+// ask asks a watcher at an address for records. It reports false where it does not answer.
+func (f *Feed) ask(ctx context.Context, address string, from int64) ([]jaystore.Record, int64, bool) {
 	body, err := msgpack.Marshal(request{Topic: f.topic, From: from})
 	if err == nil {
 		body, err = f.roster.client(address).Ask(ctx, jaypeer.TopicMirror, body, jaypeer.SilentBound)
@@ -144,19 +142,19 @@
 	return time.Since(r.started) < firstLook && !r.watching.Load()
 }
 
-// watched returns how far the zone's watcher has read a topic and when the store
-// last answered it. It reports false where the instance itself is to read.
-func (r *Roster) watched(topic jaystore.Topic, fresh time.Duration) (int64, time.Time, bool) {
+// watched returns the address of the zone's watcher, how far it has read a topic and
+// when the store last answered it. It reports false where the instance itself is to read.
+func (r *Roster) watched(topic jaystore.Topic, fresh time.Duration) (address string, next int64, at time.Time, ok bool) {
 	watcher := r.watcher.Load()
 	if watcher == nil {
-		return 0, time.Time{}, false
+		return "", 0, time.Time{}, false
 	}
 	mirror, ok := watcher.Mirrors[string(topic)]
-	at := watcher.Heard.Add(-mirror.Age)
+	at = watcher.Heard.Add(-mirror.Age)
 	if !ok || mirror.Next < 0 || time.Since(at) > fresh || time.Since(watcher.Heard) > jaymember.SilenceBound/2 {
-		return 0, time.Time{}, false
+		return "", 0, time.Time{}, false
 	}
-	return mirror.Next, at, true
+	return watcher.Peer, mirror.Next, at, true
 }
 
 // watch chooses the watcher of the zone: the instance with the least
--- a/jay/jaytraffic/policy.go
+++ b/jay/jaytraffic/policy.go
@@ -92,11 +92,6 @@
 	return p
 }
 
-// Hosts reports whether any route has the host.
-func (p *Policy) Hosts(host string) bool {
-	return slices.ContainsFunc(p.routes, func(r Route) bool { return strings.EqualFold(r.Host, host) })
-}
-
 // Route returns the route of a host and path: the longest prefix that begins the path.
 func (p *Policy) Route(host, path string) (Route, bool) {
 	for _, r := range p.routes {
--- a/jayfieldd/internal/jaydaemon/edge.go
+++ b/jayfieldd/internal/jaydaemon/edge.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -72,6 +73,8 @@
 
 // runEdge runs an instance until it is told to stop.
 func runEdge(file string, settings jayedge.Settings, signals <-chan os.Signal, level *slog.LevelVar, log *slog.Logger) error {
+	// The collector works harder from half of the memory at which the process is killed.
+	debug.SetMemoryLimit(int64(settings.Memory) << 20 / 2)
 	edge, err := jayedge.Start(settings, jayplatform.NewAdapter(), log)
 	if err != nil {
 		return err //nolint:wrapcheck // It says what failed.
