Read news from the store itself where the watcher does not have them

Change: a hurried read goes to the store where the watcher has nothing newer; the registry's watcher is believed for 0.7 of the time in which a leaving upstream may get work, and looked at each 250 ms.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -27,9 +27,13 @@
 )
 
 const (
-	// registryPart is the part of the time in which a leaving upstream may still get new
-	// work that passes between two reads of the registry.
-	registryPart = 0.4
+	// registryPart and registryFresh are the parts of the time in which a leaving upstream may
+	// still get new work that pass between two reads of the registry, and until a watcher
+	// that may be cut off from the store is no longer believed.
+	registryPart  = 0.36
+	registryFresh = 0.7
+	// registryLook is the time between two looks at what the watcher has read.
+	registryLook = 250 * time.Millisecond
 	// policyFresh and memberFresh are the ages up to which what another instance has read is
 	// used; both topics are held at the store, for 4 and 10 s.
 	policyFresh = 5500 * time.Millisecond
@@ -88,10 +92,11 @@
 	if err := e.listen(adapter, store); err != nil {
 		return nil, err
 	}
-	registryPause := time.Duration(registryPart * float64(settings.Drain))
-	e.follow(store, jaystore.TopicMembers, e.roster, 0, memberFresh)
-	e.policyFeed.Store(e.follow(store, jaystore.TopicPolicy, e.policies, 0, policyFresh))
-	e.follow(store, jaystore.TopicUpstreams, e.placer, registryPause, settings.Drain)
+	e.follow(store, jaystore.TopicMembers, e.roster, 0, memberFresh, 0)
+	e.policyFeed.Store(e.follow(store, jaystore.TopicPolicy, e.policies, 0, policyFresh, 0))
+	drain := float64(settings.Drain)
+	e.follow(store, jaystore.TopicUpstreams, e.placer, registryLook,
+		time.Duration(registryFresh*drain), time.Duration(registryPart*drain))
 	e.group.Every(sweepPause, func(context.Context) { e.pool.Sweep(time.Now()) })
 	log.Info("instance started", "instance", e.self.Name, "incarnation", e.self.Incarnation, "zone", e.self.Zone,
 		"caller", settings.Caller, "store", settings.Store)
@@ -209,9 +214,9 @@
 	})
 }
 
-func (e *Edge) follow(store Store, topic jaystore.Topic, consumer jaystore.Consumer, pause, fresh time.Duration) *jaystore.Follower {
+func (e *Edge) follow(store Store, topic jaystore.Topic, consumer jaystore.Consumer, pause, fresh, every time.Duration) *jaystore.Follower {
 	mirror := jaystore.NewMirror(consumer)
-	feed := e.roster.Feed(store, topic, mirror, fresh)
+	feed := e.roster.Feed(store, topic, mirror, fresh, every)
 	follower := jaystore.NewFollower(feed, topic, mirror, pause, e.log)
 	e.group.Go(follower.Run)
 	return follower
--- a/jay/jayroster/feed.go
+++ b/jay/jayroster/feed.go
@@ -31,6 +31,10 @@
 	mirror *jaystore.Mirror
 	// fresh is the age of the watcher's last answer up to which it is believed.
 	fresh time.Duration
+	// every is the least time between two reads of the store, 0 where the store holds
+	// reads until there is a record; last is when the store was read.
+	every time.Duration
+	last  time.Time
 }
 
 // records is the answer to a request for records.
@@ -46,9 +50,10 @@
 }
 
 // Feed returns the reader of a topic, whose consumer is mirrored for the others.
-func (r *Roster) Feed(store jaystore.Reader, topic jaystore.Topic, mirror *jaystore.Mirror, fresh time.Duration) *Feed {
+// The store is read each time that has passed, or held reads are made where it is 0.
+func (r *Roster) Feed(store jaystore.Reader, topic jaystore.Topic, mirror *jaystore.Mirror, fresh, every time.Duration) *Feed {
 	r.mirrors.Store(topic, mirror)
-	return &Feed{roster: r, store: store, topic: topic, mirror: mirror, fresh: fresh}
+	return &Feed{roster: r, store: store, topic: topic, mirror: mirror, fresh: fresh, every: every}
 }
 
 // Newest returns the newest record of each key.
@@ -86,14 +91,24 @@
 			break
 		}
 		f.mirror.Answered(at, from)
-		if !wait {
+		if !wait && f.every > 0 {
 			return nil, from, nil
 		}
+		if !wait {
+			// There is news that the watcher has not; it may be cut off from the store.
+			break
+		}
 		select {
 		case <-time.After(feedLook):
 		case <-ctx.Done():
 		}
 	}
+	if f.every > 0 {
+		if time.Since(f.last) < f.every {
+			return nil, from, nil
+		}
+		f.last = time.Now()
+	}
 	list, next, err := f.store.Read(ctx, topic, from, wait)
 	if err == nil {
 		// A read that was held tells what holds at its end.
--- a/jay/jayroster/roster_test.go
+++ b/jay/jayroster/roster_test.go
@@ -60,6 +60,7 @@
 // instance is a roster with its follower.
 type instance struct {
 	roster *jayroster.Roster
+	feed   *jayroster.Feed
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	seen   []jaymember.Status
@@ -96,7 +97,8 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	mirror := jaystore.NewMirror(i.roster)
-	feed := i.roster.Feed(s.as(name), jaystore.TopicMembers, mirror, 2*time.Second)
+	feed := i.roster.Feed(s.as(name), jaystore.TopicMembers, mirror, 2*time.Second, 0)
+	i.feed = feed
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -165,3 +167,32 @@
 		})
 	}
 }
+
+// News that the watcher does not have are read from the store itself: the
+// watcher may be cut off from it without knowing yet.
+func TestNewsGoRoundTheWatcher(t *testing.T) {
+	s := &store{reads: make(map[string]int)}
+	watcher, other := start(t, s, 0, "z"), start(t, s, 1, "z")
+	defer watcher.cancel()
+	defer other.cancel()
+	until(t, "the watcher as the only reader", func() bool {
+		s.mu.Lock()
+		s.reads = make(map[string]int)
+		s.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.reads) == 1 && s.reads["i0"] > 0
+	})
+	s.mu.Lock()
+	end := int64(len(s.records))
+	s.mu.Unlock()
+	if _, _, err := other.feed.Read(t.Context(), jaystore.TopicMembers, end, false); err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reads["i1"] == 0 {
+		t.Error("the store was not asked")
+	}
+}
