--- a/jay/jayroster/feed.go
+++ b/jay/jayroster/feed.go
@@ -73,35 +73,8 @@
 // Read returns records from an offset on, from the watcher as soon as it has
 // some, or from the store.
 func (f *Feed) Read(ctx context.Context, topic jaystore.Topic, from int64, wait bool) ([]jaystore.Record, int64, error) {
-	for ctx.Err() == nil {
-		watcher, next, at, ok := f.roster.watched(f.topic, f.fresh)
-		if !ok && f.roster.young() {
-			// The newest records have just been read, and the watcher is about to be known.
-			time.Sleep(feedLook)
-			continue
-		}
-		if !ok {
-			break
-		}
-		if next > from {
-			if list, next, ok := f.ask(ctx, watcher, from); ok {
-				f.mirror.Answered(at, next)
-				return list, next, nil
-			}
-			break
-		}
-		f.mirror.Answered(at, from)
-		if !wait && f.every > 0 {
-			return nil, from, nil
-		}
-		if !wait {
-			// There is news that the watcher has not; it may be cut off from the store.
-			break
-		}
-		select {
-		case <-time.After(feedLook):
-		case <-ctx.Done():
-		}
+	if list, next, ok := f.readWatcher(ctx, from, wait); ok {
+		return list, next, nil
 	}
 	if f.every > 0 {
 		if time.Since(f.last) < f.every {
@@ -117,6 +90,38 @@
 	return list, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
 
+// readWatcher returns records from the watcher, waiting for some where wait is
+// set. It reports false where the store is to be read.
+func (f *Feed) readWatcher(ctx context.Context, from int64, wait bool) ([]jaystore.Record, int64, bool) {
+	for ctx.Err() == nil {
+		watcher, next, at, ok := f.roster.watched(f.topic, f.fresh)
+		switch {
+		case !ok && !f.roster.young():
+			return nil, 0, false
+		case !ok:
+			// The newest records have just been read, and the watcher is about to be known.
+		case next > from:
+			list, next, ok := f.ask(ctx, watcher, from)
+			if ok {
+				f.mirror.Answered(at, next)
+			}
+			return list, next, ok
+		case !wait:
+			f.mirror.Answered(at, from)
+			// A hurried read of a held topic follows news that the watcher does not have: it
+			// may be cut off from the store.
+			return nil, from, f.every > 0
+		default:
+			f.mirror.Answered(at, from)
+		}
+		select {
+		case <-time.After(feedLook):
+		case <-ctx.Done():
+		}
+	}
+	return nil, 0, false
+}
+
 // ask asks a watcher at an address for records. It reports false where it does not answer.
 func (f *Feed) ask(ctx context.Context, address string, from int64) ([]jaystore.Record, int64, bool) {
 	body, err := msgpack.Marshal(request{Topic: f.topic, From: from})
