Read secret keys by one field, remove what nothing uses

The settings of an edge instance checked keys by a copy of jaysetting's field; it is jayini.Secret now, with the same bound and message. The status kept for a log line that does not show it and Roster.Members are gone. No behaviour changes.

--- a/jay/jayedge/settings.go
+++ b/jay/jayedge/settings.go
@@ -56,7 +56,6 @@
 	maxExtra        = 100_000
 	leastMemory     = 32
 	maxMemory       = 1 << 20
-	leastKey        = 16
 )
 
 const sectionZone = "zone"
@@ -128,7 +127,7 @@
 			address("metric", &s.Metric),
 		},
 		"store": {jayini.Required(address("address", &s.Store))},
-		"key":   {jayini.Required(key("peer", &s.PeerKey))},
+		"key":   {jayini.Required(jayini.Secret("peer", &s.PeerKey))},
 		"entry": {jayini.Duration("lifetime", &s.Lifetime, 100*time.Millisecond)},
 		"drain": {jayini.Duration("time", &s.Drain, 100*time.Millisecond)},
 		"stop":  {jayini.Duration("grace", &s.Grace, time.Second)},
@@ -152,16 +151,6 @@
 	}}
 }
 
-func key(name string, target *string) jayini.Field {
-	return jayini.Field{Name: name, Set: func(value string) error {
-		if len(value) < leastKey {
-			return errors.Errorf("key has %d characters; use %d or more", len(value), leastKey)
-		}
-		*target = value
-		return nil
-	}}
-}
-
 func level(name string, target *slog.Level) jayini.Field {
 	return jayini.Field{Name: name, Set: func(value string) error {
 		if value == "routine" {
--- a/jay/jayini/field.go
+++ b/jay/jayini/field.go
@@ -77,6 +77,20 @@
 	}}
 }
 
+// leastKey is the least length of a secret key in characters.
+const leastKey = 16
+
+// Secret returns a field that accepts a secret key.
+func Secret(name string, target *string) Field {
+	return Field{Name: name, Set: func(value string) error {
+		if len(value) < leastKey {
+			return errors.Errorf("key has %d characters; use %d or more", len(value), leastKey)
+		}
+		*target = value
+		return nil
+	}}
+}
+
 // Required returns the field made required.
 func Required(field Field) Field {
 	field.Required = true
--- a/jay/jayrelay/answer.go
+++ b/jay/jayrelay/answer.go
@@ -50,7 +50,6 @@
 	} else {
 		x.metrics.Add(jaymetric.Failed, 1)
 	}
-	x.status = answer.status
 	if answer.after > 0 {
 		x.dialect.Refusal(x.writer.Header(), answer.after)
 	}
--- a/jay/jayrelay/plain.go
+++ b/jay/jayrelay/plain.go
@@ -74,7 +74,7 @@
 func (x *exchange) pass(a *sent, body []byte) {
 	copyHeader(x.writer.Header(), a.Header)
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.headed, x.status = true, a.Status
+	x.headed = true
 	x.writer.WriteHeader(a.Status)
 	if x.request.Method != http.MethodHead {
 		_, _ = x.writer.Write(body) // A caller that left is seen by the server.
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -135,8 +135,6 @@
 	runs, sends, reads int
 	// headed is set once the caller has the header of the answer.
 	headed bool
-	// status is what was answered, for the log.
-	status int
 }
 
 // admit parses the request, finds its route and reads its body.
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -150,7 +150,7 @@
 		return
 	}
 	copyHeader(s.writer.Header(), a.Header)
-	s.headed, s.status = true, a.Status
+	s.headed = true
 	s.writer.WriteHeader(a.Status)
 }
 
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -187,15 +187,6 @@
 	return reply, failed
 }
 
-// Members returns the others.
-func (r *Roster) Members(ctx context.Context) []jaymember.Status {
-	var members []jaymember.Status
-	if err := r.owner.Ask(ctx, func(s *state) { members = s.view.Members() }); err != nil {
-		r.log.Warn("members not read", "error", err)
-	}
-	return members
-}
-
 // Leave takes the instance off the store's list and tells its contacts at once.
 func (r *Roster) Leave(ctx context.Context) {
 	if err := r.owner.Tell(ctx, func(s *state) { r.tick(s, time.Now()) }); err != nil {
--- a/jay/jaysetting/field.go
+++ b/jay/jaysetting/field.go
@@ -10,16 +10,6 @@
 	"jayfield.example/jay/jayini"
 )
 
-func keyField(name string, target *string) jayini.Field {
-	return jayini.Field{Name: name, Set: func(value string) error {
-		if len(value) < leastKey {
-			return errors.Errorf("key has %d characters; use %d or more", len(value), leastKey)
-		}
-		*target = value
-		return nil
-	}}
-}
-
 func levelField(name string, target *slog.Level) jayini.Field {
 	return jayini.Field{Name: name, Set: func(value string) error {
 		if err := target.UnmarshalText([]byte(value)); err != nil {
--- a/jay/jaysetting/settings.go
+++ b/jay/jaysetting/settings.go
@@ -54,7 +54,6 @@
 const (
 	defaultRetention = 24 * time.Hour
 	defaultTicket    = 15 * time.Minute
-	leastKey         = 16
 	leastLease       = 4 * time.Second
 	maxBody          = 64 << 20
 	maxCalls         = 100_000
@@ -106,8 +105,8 @@
 		{"platform", jayini.Bool("register", &s.Register), "announce the instance on the list: yes or no"},
 		{"platform", jayini.Duration("retention", &s.Retention, time.Minute), "how long the log keeps records"},
 		{"platform", jayini.Int("checkpoint", &s.Checkpoint, 1, maxCheckpoint), "configuration records between two checkpoints"},
-		{"key", keyField("operator", &s.OperatorKey), "key of operators"},
-		{"key", keyField("peer", &s.PeerKey), "key that all instances share"},
+		{"key", jayini.Secret("operator", &s.OperatorKey), "key of operators"},
+		{"key", jayini.Secret("peer", &s.PeerKey), "key that all instances share"},
 		{"entry", jayini.Duration("lifetime", &s.Lifetime, 0), "how long callers may keep addresses"},
 		{"entry", jayini.Duration("ticket", &s.Ticket, time.Second), "how long tickets may be used"},
 		{"lease", jayini.Duration("time", &s.Lease, leastLease), "how long a lease runs without renewal"},
