--- a/jay/jaymesh/forward.go
+++ b/jay/jaymesh/forward.go
@@ -10,29 +10,13 @@
 	"jayfield.example/jay/jaypeer"
 )
 
-const (
-	// forwardRetry is the pause before a call is forwarded again.
-	forwardRetry = 50 * time.Millisecond
-	// forwardMargin is added to the time left, so that the home answers first.
-	forwardMargin = 200 * time.Millisecond
-)
+// forwardMargin is added to the time left, so that the home answers first.
+const forwardMargin = 200 * time.Millisecond
 
-// Forward sends a call to the instance of an incarnation. A connection that ends before the
-// reply is followed by another try, since the home joins both by their key.
+// Forward sends a call to the instance of an incarnation, once. After an error
+// the call may be sent again: the home joins both by their key.
 func (m *Mesh) Forward(incarnation string, call jayonce.Call) (jayonce.Outcome, error) {
-	deadline := time.Now().Add(call.Left)
-	for {
-		outcome, err := m.forwardOnce(incarnation, call, time.Until(deadline))
-		if err == nil || time.Until(deadline) <= forwardRetry {
-			return outcome, err
-		}
-		time.Sleep(forwardRetry)
-		call.Left = time.Until(deadline)
-	}
-}
-
-func (m *Mesh) forwardOnce(incarnation string, call jayonce.Call, left time.Duration) (jayonce.Outcome, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), left+forwardMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), call.Left+forwardMargin)
 	defer cancel()
 	var found *client
 	_ = m.owner.Ask(ctx, func(s *state) {
@@ -49,7 +33,7 @@
 	if err != nil {
 		return jayonce.Outcome{}, wrapError("forward", err)
 	}
-	reply, err := found.Ask(ctx, jaypeer.TopicCall, body, left+forwardMargin)
+	reply, err := found.Ask(ctx, jaypeer.TopicCall, body, call.Left+forwardMargin)
 	if err != nil {
 		return jayonce.Outcome{}, err
 	}
--- a/jay/jayonce/home.go
+++ b/jay/jayonce/home.go
@@ -143,13 +143,10 @@
 
 // Lookup returns what is recorded of a key whose home cannot be asked.
 func (h *Home) Lookup(ctx context.Context, key Key) Outcome {
-	outcome := Outcome{Run: RunUnknown, Reason: "home of the key is gone and recorded no outcome"}
-	_ = h.owner.Ask(ctx, func(s *homeState) {
-		if known, ok := s.archive.Lookup(key); ok {
-			outcome = known
-		}
-	})
-	return outcome
+	if outcome, ok := h.Recorded(ctx, key); ok {
+		return outcome
+	}
+	return Outcome{Run: RunUnknown, Reason: "home of the key is gone and recorded no outcome"}
 }
 
 // Outcomes returns every settled key, to be handed over before a stop.
@@ -180,6 +177,12 @@
 	})
 }
 
+// Recorded returns the outcome that another incarnation has recorded of a key.
+func (h *Home) Recorded(ctx context.Context, key Key) (outcome Outcome, ok bool) {
+	_ = h.owner.Ask(ctx, func(s *homeState) { outcome, ok = s.archive.Lookup(key) })
+	return outcome, ok
+}
+
 // Stop ends the home's task.
 func (h *Home) Stop() {
 	h.owner.Stop()
--- a/jay/jaystandin/service.go
+++ b/jay/jaystandin/service.go
@@ -41,7 +41,8 @@
 	Count int    `json:"stock"`
 }
 
-// Begun returns how many calls have reached the service.
+// Begun returns how many orders have reached the service. Questions, such as
+// those of a watcher for its load, are not counted.
 func (s *Service) Begun() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,7 +75,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	faults := s.begin()
+	faults := s.begin(r.Method != http.MethodGet)
 	if faults.Leaving {
 		w.Header().Set("X-Leaving", "yes")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -101,10 +102,12 @@
 	s.faults = faults
 }
 
-func (s *Service) begin() ServiceFaults {
+func (s *Service) begin(order bool) ServiceFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.begun++
+	if order {
+		s.begun++
+	}
 	return s.faults
 }
 
