Move prompts to the engines that only read them while answers are long

Cause: decode engines read prompts in pieces between the tokens of their answers.

Change: jayplace keeps a moving view of expected answer tokens for each own prompt token. Above a bound the weight of prefill engines doubles, up to eight times, with a hysteresis. Estimates come from the callers' hint.

The line of a served request states when its prompt had been read.

--- a/jay/jayplace/home.go
+++ b/jay/jayplace/home.go
@@ -34,7 +34,8 @@
 	if !slices.ContainsFunc(candidates, func(u *upstream) bool { return u.spec.Stage != jayfleet.StagePrefill }) {
 		return Choice{}, jayerror.New("choose", KindNone, "no engine gives answers")
 	}
-	o := t.option(now, home(candidates, w), w)
+	t.mix.add(now, w)
+	o := t.option(now, home(candidates, w, t.mix.offload()), w)
 	return Choice{
 		Upstream: o.u.spec, Apart: o.u.spec.Stage == jayfleet.StagePrefill,
 		Cached: o.cached, Reading: o.reading, Wait: o.wait, Priority: priority(o.reading), Fetch: o.fetch(),
@@ -54,12 +55,13 @@
 }
 
 // home returns the candidate with the highest weighted rendezvous score for
-// the shared part, so that all instances agree without asking each other.
-func home(candidates []*upstream, w Work) *upstream {
+// the shared part, so that all instances agree without asking each other. The
+// weight of engines that only read prompts grows with offload.
+func home(candidates []*upstream, w Work, offload float64) *upstream {
 	var best *upstream
 	top := 0.0
 	for _, u := range candidates {
-		if score := rendezvous(u.spec.ID, w.Shared, stageWeight(u, w)); best == nil || score > top {
+		if score := rendezvous(u.spec.ID, w.Shared, stageWeight(u, w, offload)); best == nil || score > top {
 			best, top = u, score
 		}
 	}
@@ -110,16 +112,16 @@
 }
 
 // stageWeight returns how many shared parts of the work's size an engine is the home of.
-func stageWeight(u *upstream, w Work) float64 {
+func stageWeight(u *upstream, w Work, offload float64) float64 {
 	if u.spec.Stage != jayfleet.StagePrefill {
 		return 1
 	}
 	switch size := w.SharedTokens + w.OwnTokens; {
 	case size >= largePrompt:
-		return 2 * prefillWeight
+		return 2 * prefillWeight * offload
 	case size < largePrompt/4:
-		return prefillWeight / 2
+		return prefillWeight / 2 * offload
 	default:
-		return prefillWeight
+		return prefillWeight * offload
 	}
 }
--- a/jay/jayplace/table.go
+++ b/jay/jayplace/table.go
@@ -21,6 +21,7 @@
 	services  map[string][]*upstream
 	// stated are the readings that the others are told of.
 	stated []reading
+	mix    mix
 }
 
 // NewTable returns a table without upstreams for an instance at a place.
--- a/jay/jayplace/work.go
+++ b/jay/jayplace/work.go
@@ -32,9 +32,9 @@
 	Prompt bool
 	// Shared names the part of the prompt that other requests begin with too.
 	Shared string
-	// SharedTokens, OwnTokens and OutputTokens are the sizes of that part, of the rest of
-	// the prompt and of the longest answer.
-	SharedTokens, OwnTokens, OutputTokens int
+	// SharedTokens and OwnTokens are the sizes of that part and of the rest of the prompt,
+	// AnswerTokens the expected size of the answer.
+	SharedTokens, OwnTokens, AnswerTokens int
 	// Avoid holds the ids of upstreams that the request has been sent to.
 	Avoid map[string]bool
 }
--- a/jay/jayrelay/dialect.go
+++ b/jay/jayrelay/dialect.go
@@ -42,6 +42,9 @@
 	Shared string
 	// SharedTokens, OwnTokens and OutputTokens are the sizes of that start, of the rest, and of the longest answer.
 	SharedTokens, OwnTokens, OutputTokens int
+	// HintTokens is the caller's estimate of the answer, right at the median only and 0
+	// where it gives none.
+	HintTokens int
 }
 
 // Send is what a relay tells an upstream with a request.
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -207,7 +207,10 @@
 	w := jayplace.Work{ID: x.call.ID, Service: x.service, Avoid: x.avoid}
 	if p := x.call.Prompt; p != nil && x.route.Prompt {
 		w.Prompt = true
-		w.Shared, w.SharedTokens, w.OwnTokens, w.OutputTokens = p.Shared, p.SharedTokens, p.OwnTokens, p.OutputTokens
+		w.Shared, w.SharedTokens, w.OwnTokens, w.AnswerTokens = p.Shared, p.SharedTokens, p.OwnTokens, p.HintTokens
+		if p.HintTokens == 0 {
+			w.AnswerTokens = p.OutputTokens
+		}
 	}
 	return w
 }
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -50,6 +50,8 @@
 	// choice and host are where the present attempt runs.
 	choice jayplace.Choice
 	host   jayfleet.Upstream
+	// read is how long after the request's arrival its prompt had been read apart.
+	read time.Duration
 }
 
 // attempt places the request and passes on what its upstream gives. It
@@ -80,6 +82,7 @@
 			return f
 		}
 		done(true)
+		s.read = time.Since(s.began)
 		send.Fetch = ""
 		send.Source = choice.Upstream.Address + "/" + kv.Handle
 		defer func() {
@@ -111,7 +114,7 @@
 	s.log.Log(ctx, jaysink.LevelRoutine, "request served", jaysink.KeyRequest, s.call.ID, "route", s.route.Name,
 		"service", s.service, "policy", s.version, "upstream", s.choice.Upstream.ID, "apart", s.choice.Apart,
 		"host", s.host.ID, "cached", s.choice.Cached, "fetch", s.choice.Fetch, "reading", s.choice.Reading,
-		"priority", s.choice.Priority, "wait", s.choice.Wait, "sends", s.sends, "first", s.first,
+		"priority", s.choice.Priority, "wait", s.choice.Wait, "sends", s.sends, "read", s.read, "first", s.first,
 		"target", s.route.Target, "took", time.Since(s.began))
 }
 
