Spare the store: news come from the zone's watcher, retries share one bound

A trial that printed each call showed some 90 calls within a second of each new policy (every instance heard of it from the watcher's own statement and read the store before the watcher's records came), six held reads for each of 70 changes of members in a row, and three topics an instance that were retried on their own while the store was away.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"jayfield.example/jay/jayentry"
 	"jayfield.example/jay/jaylink"
@@ -38,6 +39,9 @@
 	// used; both topics are held at the store, for 4 and 10 s.
 	policyFresh = 5500 * time.Millisecond
 	memberFresh = 12 * time.Second
+	// memberRest is the time between two reads of the members while they change: each change
+	// ends the held reads of all zones, and instances tell each other directly as well.
+	memberRest = time.Second
 	// sweepPause is the time between two looks at resting connections.
 	sweepPause = time.Second
 	// headerBound bounds the header of a question to the instance itself.
@@ -48,6 +52,11 @@
 	answersKept = 3
 	// storeBound bounds the note to the store that the instance leaves.
 	storeBound = time.Second
+	// retryPause and retryBurst bound the calls of an instance to a store that does not answer:
+	// with three topics, each is tried again within 3 s, less than the 4 s after which the
+	// users' letter counts on an instance again.
+	retryPause = time.Second
+	retryBurst = 3
 )
 
 // Edge is a running instance. Its parts have a done channel each and are
@@ -61,18 +70,20 @@
 	policies *policies
 	placer   *placer
 	budgets  *budgets
-	pool     *jaylink.Pool
-	server   *jayrelay.Server
-	roster   *jayroster.Roster
-	group    *jaytask.Group
-	small    []*http.Server
-	leaving  atomic.Bool
+	// retries bounds the calls to a store that does not answer.
+	retries *rate.Limiter
+	pool    *jaylink.Pool
+	server  *jayrelay.Server
+	roster  *jayroster.Roster
+	group   *jaytask.Group
+	small   []*http.Server
+	leaving atomic.Bool
 	// lifetime is how long callers may keep entry addresses, as a time.Duration.
-	lifetime atomic.Int64
-	members  atomic.Pointer[[]jaymember.Status]
-	// policyFeed follows the policy; told is the greatest version that another instance stated.
+	lifetime   atomic.Int64
+	members    atomic.Pointer[[]jaymember.Status]
 	policyFeed atomic.Pointer[jaystore.Follower]
-	told       atomic.Int64
+	// behind is used by the roster's task alone.
+	behind lag
 }
 
 // Start starts an instance and returns once it listens.
@@ -85,6 +96,7 @@
 	e.members.Store(&[]jaymember.Status{})
 	e.lifetime.Store(int64(settings.Lifetime))
 	e.budgets = newBudgets(settings.Budget)
+	e.retries = rate.NewLimiter(rate.Every(retryPause), retryBurst)
 	e.placer = newPlacer(adapter, jayplace.Place{Zone: settings.Zone, Region: settings.Region}, settings.Regions, log)
 	e.policies = &policies{adapter: adapter, log: log, changed: e.policyChanged}
 	e.pool = jaylink.NewPool(jaylink.NewDialer())
@@ -92,7 +104,7 @@
 	if err := e.listen(adapter, store); err != nil {
 		return nil, err
 	}
-	e.follow(store, jaystore.TopicMembers, e.roster, 0, memberFresh, 0)
+	e.follow(store, jaystore.TopicMembers, e.roster, 0, memberFresh, 0, jaystore.WithRest(memberRest))
 	e.policyFeed.Store(e.follow(store, jaystore.TopicPolicy, e.policies, 0, policyFresh, 0))
 	drain := float64(settings.Drain)
 	e.follow(store, jaystore.TopicUpstreams, e.placer, registryLook,
@@ -214,10 +226,10 @@
 	})
 }
 
-func (e *Edge) follow(store Store, topic jaystore.Topic, consumer jaystore.Consumer, pause, fresh, every time.Duration) *jaystore.Follower {
+func (e *Edge) follow(store Store, topic jaystore.Topic, consumer jaystore.Consumer, pause, fresh, every time.Duration, options ...jaystore.FollowerOption) *jaystore.Follower {
 	mirror := jaystore.NewMirror(consumer)
 	feed := e.roster.Feed(store, topic, mirror, fresh, every)
-	follower := jaystore.NewFollower(feed, topic, mirror, pause, e.log)
+	follower := jaystore.NewFollower(feed, topic, mirror, pause, e.log, append(options, jaystore.WithRetries(e.retries))...)
 	e.group.Go(follower.Run)
 	return follower
 }
@@ -236,15 +248,16 @@
 	e.placer.others(members)
 }
 
-// hearPolicies reads the policy at once where another instance has a newer one:
-// the own read may be held on a connection that has fallen silent.
+// hearPolicies reads the policy from the store where another instance has had a
+// newer one for a while: the watcher of the zone may be cut off, or the own read
+// be held on a connection that has fallen silent.
 func (e *Edge) hearPolicies(members []jaymember.Status) {
 	greatest := int64(-1)
 	for _, m := range members {
 		greatest = max(greatest, m.Config)
 	}
 	policy, feed := e.policies.Policy(), e.policyFeed.Load()
-	if policy == nil || feed == nil || greatest <= policy.Version || e.told.Swap(greatest) == greatest {
+	if policy == nil || feed == nil || !e.behind.due(time.Now(), policy.Version, greatest) {
 		return
 	}
 	e.log.Info("newer policy heard of", "version", greatest, "inForce", policy.Version)
--- a/jay/jayplace/play_test.go
+++ b/jay/jayplace/play_test.go
@@ -22,6 +22,7 @@
 // run is a request inside the played engines.
 type run struct {
 	choice     jayplace.Choice
+	host       string
 	work       jayplace.Work
 	toRead     int
 	left       int
@@ -38,21 +39,21 @@
 	running []*run
 }
 
-// step plays one step from now on and returns the prompts that it completed.
-func (p *player) step(now time.Time) []*run {
+// step plays one step from now on and returns the prompts that it completed and the answers that ended.
+func (p *player) step(now time.Time) (read, answered []*run) {
 	tokens, perMs := chunk, readPerMs
 	if !p.prefill {
 		tokens, perMs = chunk/4, readPerMs/2
 	}
 	took := stepBase + time.Duration(len(p.running))*stepPerSlot
-	var done, rest []*run
+	var rest []*run
 	for _, r := range p.reading {
 		part := min(tokens, r.toRead)
 		tokens -= part
 		r.toRead -= part
 		took += time.Duration(part) * time.Millisecond / time.Duration(perMs)
 		if r.toRead == 0 {
-			done = append(done, r)
+			read = append(read, r)
 		} else {
 			rest = append(rest, r)
 		}
@@ -62,10 +63,12 @@
 	for _, r := range p.running {
 		if r.token(p.free); r.left > 0 {
 			alive = append(alive, r)
+		} else {
+			answered = append(answered, r)
 		}
 	}
 	p.running = alive
-	return done
+	return read, answered
 }
 
 // token takes one token of the answer; ten make an event.
@@ -111,19 +114,23 @@
 			if now.Before(p.free) || len(p.reading)+len(p.running) == 0 {
 				continue
 			}
-			for _, r := range p.step(now) {
+			read, answered := p.step(now)
+			for _, r := range answered {
+				table.End(now, r.host, jayplace.OutcomeServed, 0, true)
+			}
+			for _, r := range read {
 				table.Read(now, r.choice, r.work.Shared, true)
-				table.End(now, id, jayplace.OutcomeServed, 0, true)
-				host := p
+				r.host, r.lastEvent = id, p.free
 				if r.choice.Apart {
+					table.End(now, id, jayplace.OutcomeServed, 0, true)
 					to, err := table.Host(now, r.work, r.choice.Upstream)
 					if err != nil {
 						t.Fatal(err)
 					}
-					host = players[to.ID]
+					r.host = to.ID
+					table.Start(r.host)
 				}
-				r.lastEvent = p.free
-				host.running = append(host.running, r)
+				players[r.host].running = append(players[r.host].running, r)
 			}
 		}
 	}
@@ -143,7 +150,7 @@
 		answer    int
 	}{
 		"short answers": {80, 120},
-		"long answers":  {75, 600},
+		"long answers":  {100, 800},
 	}
 	// The users' letter asks for its times between tokens for 95 in 100.
 	const target = 0.95
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -32,6 +32,25 @@
 	Answered(at time.Time, next int64)
 }
 
+// Retries bounds the calls that followers make to a store that does not answer.
+type Retries interface {
+	// Wait returns when a call may be made, or with an error when ctx ends.
+	Wait(ctx context.Context) error
+}
+
+// FollowerOption is an option of a follower.
+type FollowerOption func(*Follower)
+
+// WithRetries has a follower share the bound of retries with others.
+func WithRetries(retries Retries) FollowerOption {
+	return func(f *Follower) { f.retries = retries }
+}
+
+// WithRest has a follower rest after records before it reads again.
+func WithRest(rest time.Duration) FollowerOption {
+	return func(f *Follower) { f.rest = rest }
+}
+
 // Follower reads a topic from its newest records on.
 type Follower struct {
 	reader   Reader
@@ -40,17 +59,25 @@
 	log      *slog.Logger
 	// pause is the time between two reads; 0 has the store hold each read until there is a record.
 	pause time.Duration
+	// rest is the time between records and the next read.
+	rest  time.Duration
 	next  int64
 	lost  bool
 	retry time.Duration
+	// retries is nil where only the follower's own back-off counts.
+	retries Retries
 	// hurried has the next read not wait.
 	hurried bool
 	hurry   chan struct{}
 }
 
 // NewFollower returns a follower that reads each pause, or waits at the store where pause is 0.
-func NewFollower(reader Reader, topic Topic, consumer Consumer, pause time.Duration, log *slog.Logger) *Follower {
-	return &Follower{reader: reader, topic: topic, consumer: consumer, log: log, pause: pause, next: -1, retry: firstRetry, hurry: make(chan struct{}, 1)}
+func NewFollower(reader Reader, topic Topic, consumer Consumer, pause time.Duration, log *slog.Logger, options ...FollowerOption) *Follower {
+	f := &Follower{reader: reader, topic: topic, consumer: consumer, log: log, pause: pause, next: -1, retry: firstRetry, hurry: make(chan struct{}, 1)}
+	for _, option := range options {
+		option(f)
+	}
+	return f
 }
 
 // Hurry ends a read that waits and asks at once, since there is news.
@@ -64,11 +91,14 @@
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := f.pause
+		before, pause := f.next, f.pause
 		if err := f.step(ctx); err != nil {
 			pause = f.failed(ctx, err)
 		} else {
 			f.succeeded(ctx)
+			if f.next != before {
+				pause = max(pause, f.rest)
+			}
 		}
 		select {
 		case <-time.After(pause):
@@ -141,6 +171,9 @@
 	}
 	pause := f.retry/2 + rand.N(f.retry/2) //nolint:gosec // Jitter needs no secrecy.
 	f.retry = min(2*f.retry, lastRetry)
+	if f.retries != nil && f.retries.Wait(ctx) != nil {
+		return 0 // The follower ends.
+	}
 	return pause
 }
 
--- a/jay/jaystore/follower_test.go
+++ b/jay/jaystore/follower_test.go
@@ -119,6 +119,40 @@
 	}
 }
 
+// asked counts the waits of followers.
+type asked struct {
+	waits int
+}
+
+func (a *asked) Wait(ctx context.Context) error {
+	a.waits++
+	return ctx.Err()
+}
+
+// A follower asks the shared bound before each retry, and not while the store answers.
+func TestFollowerSharesRetries(t *testing.T) {
+	down := jayerror.New("read", jaystore.KindUnavailable, "no answer")
+	tests := map[string]struct {
+		script []answer
+		waits  int
+	}{
+		"sound":          {[]answer{{next: 1}, {next: 1}, {next: 1}}, 0},
+		"two calls fail": {[]answer{{next: 1}, {err: down}, {err: down}, {next: 1}}, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			r, retries := &reader{script: test.script, end: cancel}, &asked{}
+			jaystore.NewFollower(r, jaystore.TopicPolicy, &consumer{}, 0, slog.New(slog.DiscardHandler),
+				jaystore.WithRetries(retries)).Run(ctx)
+			if retries.waits != test.waits {
+				t.Errorf("%d retries were bounded, want %d", retries.waits, test.waits)
+			}
+		})
+	}
+}
+
 // held is a reader whose first read waits until it is cancelled.
 type held struct {
 	reading chan struct{}
