Log where and why a request that was not served had been placed

Cause: the line of a served request told its engine, predicted wait, reading and rank; the line of one that was not served told none of them, so a late or lost request could not be traced to its queue. Change: both lines share the fields of the newest placement.

--- a/jay/jayrelay/answer.go
+++ b/jay/jayrelay/answer.go
@@ -58,11 +58,24 @@
 
 // logFailure writes the line of a request that got no upstream's answer.
 func (x *exchange) logFailure(err error) {
-	x.log.Info("request not served",
+	x.log.With(x.placed()...).Info("request not served",
 		"request", x.call.ID, "route", x.route.Name, "service", x.service, "policy", x.version,
 		"upstreams", x.tried, "runs", x.runs, "sends", x.sends, "took", time.Since(x.began), "left", x.left(), "error", err)
 }
 
+// placed returns the fields of a log line that say where the newest attempt was placed, and why.
+func (x *exchange) placed() []any {
+	if x.choice.Upstream.ID == "" {
+		return nil
+	}
+	fields := []any{"upstream", x.choice.Upstream.ID, "wait", x.choice.Wait}
+	if !x.route.Prompt {
+		return fields
+	}
+	return append(fields, "apart", x.choice.Apart, "host", x.host.ID, "cached", x.choice.Cached, "fetch", x.choice.Fetch,
+		"reading", x.choice.Reading, "priority", x.choice.Priority, "read", x.readIn)
+}
+
 // endServed is the end of a request whose answer the caller has whole.
 const endServed = "served"
 
--- a/jay/jayrelay/plain.go
+++ b/jay/jayrelay/plain.go
@@ -26,6 +26,7 @@
 			x.fail(x.giveUp(err))
 			return
 		}
+		x.choice = choice
 		answer, f := x.send(ctx, choice.Upstream, Send{Priority: -1, After: x.call.After})
 		var body []byte
 		if f == nil {
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -133,6 +133,11 @@
 	tried              []string
 	avoid              map[string]bool
 	runs, sends, reads int
+	// choice and host are where the newest attempt runs, readIn is how long after the
+	// request's arrival its prompt had been read apart.
+	choice jayplace.Choice
+	host   jayfleet.Upstream
+	readIn time.Duration
 	// headed is set once the caller has the header of the answer.
 	headed bool
 }
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -47,11 +47,6 @@
 	started  bool
 	first    time.Duration
 	numbered bool
-	// choice and host are where the present attempt runs.
-	choice jayplace.Choice
-	host   jayfleet.Upstream
-	// read is how long after the request's arrival its prompt had been read apart.
-	read time.Duration
 }
 
 // attempt places the request and passes on what its upstream gives. It
@@ -62,6 +57,7 @@
 	if err != nil {
 		return &failure{cause: err, nowhere: true}
 	}
+	s.choice, s.host, s.readIn = choice, jayfleet.Upstream{}, 0
 	s.placer.Reading(choice)
 	read := false
 	done := func(ok bool) {
@@ -82,7 +78,7 @@
 			return f
 		}
 		done(true)
-		s.read = time.Since(s.began)
+		s.readIn = time.Since(s.began)
 		send.Fetch = ""
 		send.Source = choice.Upstream.Address + "/" + kv.Handle
 		defer func() {
@@ -94,12 +90,12 @@
 			return &failure{cause: err, nowhere: true}
 		}
 	}
+	s.host = host
 	answer, f := s.send(ctx, host, send)
 	if f != nil {
 		return f
 	}
 	send.Source = ""
-	s.choice, s.host = choice, host
 	return s.relay(ctx, answer, func() { done(true) })
 }
 
@@ -111,10 +107,8 @@
 		s.measure(endServed)
 		s.series.Observe("first_event_seconds", s.first, jaymetric.Label{Name: "route", Value: s.route.Name})
 	}
-	s.log.Log(ctx, jaysink.LevelRoutine, "request served", jaysink.KeyRequest, s.call.ID, "route", s.route.Name,
-		"service", s.service, "policy", s.version, "upstream", s.choice.Upstream.ID, "apart", s.choice.Apart,
-		"host", s.host.ID, "cached", s.choice.Cached, "fetch", s.choice.Fetch, "reading", s.choice.Reading,
-		"priority", s.choice.Priority, "wait", s.choice.Wait, "sends", s.sends, "read", s.read, "first", s.first,
+	s.log.With(s.placed()...).Log(ctx, jaysink.LevelRoutine, "request served", jaysink.KeyRequest, s.call.ID,
+		"route", s.route.Name, "service", s.service, "policy", s.version, "sends", s.sends, "first", s.first,
 		"target", s.route.Target, "took", time.Since(s.began))
 }
 
