--- a/jayfieldd/internal/jaydaemon/soak_test.go
+++ b/jayfieldd/internal/jaydaemon/soak_test.go
@@ -37,11 +37,13 @@
 	ledger  *jayplatformtest.Ledger
 	engines []*jayplatformtest.Engine
 	edges   []*edge
-	dir     string
-	next    atomic.Int64
-	served  atomic.Int64
-	failed  atomic.Int64
-	broken  chan string
+	// links are the proxies before the store, the engines and the callers' ports.
+	links  []*link
+	dir    string
+	next   atomic.Int64
+	served atomic.Int64
+	failed atomic.Int64
+	broken chan string
 }
 
 // edge is one instance, started again after its end.
@@ -49,8 +51,9 @@
 	mu       sync.Mutex
 	process  *exec.Cmd
 	settings string
-	caller   string
-	ready    string
+	// caller is the address that callers use, through a link.
+	caller string
+	ready  string
 }
 
 const soakHost = "soak.example"
@@ -124,6 +127,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(e.Close)
+		e.Advertise(s.link(e.Address()))
 		s.engines = append(s.engines, e)
 		s.store.Register(e, "ready", 1)
 	}
@@ -141,6 +145,13 @@
 	return s
 }
 
+// link returns the address of a new link to a target.
+func (s *soak) link(target string) string {
+	l := newLink(s.t, target)
+	s.links = append(s.links, l)
+	return l.address()
+}
+
 // publish writes a configuration with a route of each kind.
 func (s *soak) publish(version int) {
 	const timeout = 3 * time.Second
@@ -156,7 +167,9 @@
 }
 
 func (s *soak) newEdge(n int) *edge {
-	e := &edge{settings: filepath.Join(s.dir, fmt.Sprintf("edge%d.ini", n)), caller: freeAddress(), ready: freeAddress()}
+	e := &edge{settings: filepath.Join(s.dir, fmt.Sprintf("edge%d.ini", n)), ready: freeAddress()}
+	listen := freeAddress()
+	e.caller = s.link(listen)
 	text := fmt.Sprintf(`[instance]
 name = edge-%d
 region = r0
@@ -174,7 +187,7 @@
 grace = 4s
 [budget]
 extra = 50
-`, n, e.caller, e.ready, freeAddress(), freeAddress(), strings.TrimPrefix(s.server.URL, "http://"))
+`, n, listen, e.ready, freeAddress(), freeAddress(), s.link(strings.TrimPrefix(s.server.URL, "http://")))
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -248,7 +261,9 @@
 	engine := s.engines[s.random.IntN(len(s.engines))]
 	modes := []jayplatformtest.Mode{jayplatformtest.ModeBusy, jayplatformtest.ModeSilent, jayplatformtest.ModeLost, jayplatformtest.ModeUp}
 	faults := []jayplatformtest.Fault{jayplatformtest.FaultReset, jayplatformtest.FaultShed, jayplatformtest.FaultMute, jayplatformtest.FaultNone}
-	kind := s.random.IntN(9)
+	l := s.links[s.random.IntN(len(s.links))]
+	delay := time.Duration(10+s.random.IntN(200)) * time.Millisecond
+	kind := s.random.IntN(13)
 	mode, bad := modes[s.random.IntN(len(modes))], faults[s.random.IntN(len(faults))]
 	switch kind {
 	case 0:
@@ -269,12 +284,25 @@
 	case 8:
 		s.store.Scribble()
 		e.hangUp()
+	case 9:
+		l.silence()
+	case 10:
+		l.reset()
+	case 11:
+		l.treat([]linkMode{linkUp, linkDown}[s.random.IntN(2)], 0)
+		time.AfterFunc(10*delay, func() { l.treat(linkPass, 0) })
+	case 12:
+		l.treat(linkDelay, delay)
+		time.AfterFunc(2*time.Second, func() { l.treat(linkPass, 0) })
 	}
 }
 
 // mend ends all faults.
 func (s *soak) mend() {
 	s.store.Treat(jayplatformtest.ModeUp)
+	for _, l := range s.links {
+		l.treat(linkPass, 0)
+	}
 	for _, e := range s.edges {
 		e.signal(syscall.SIGCONT)
 	}
