Get records from another instance while the store turns an instance away

The store answered both instances of irbid with 503 from 2.5 to 11.8 s and served the others. Both heard of policy 6 at 3.3 s and of policy 8 at 7.1 s, and had neither until 11.8 s, though any other instance could have passed them on: only the watcher of the own zone was ever asked, and that was one of the two.

Change: where a call to the store fails, the feed asks an instance with the newest policy, in the own region if there is one. Records known from elsewhere come with the error, so the follower still takes the store for lost and its retries keep their bound.

The test fails without the change.

--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -21,6 +21,7 @@
 	})
 	s.view.Tick(now)
 	members := s.view.Members()
+	r.others.Store(&members)
 	for address, zone := range s.contacts(members) {
 		r.ask(s, address, zone)
 	}
--- a/jay/jayroster/feed.go
+++ b/jay/jayroster/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -22,7 +23,8 @@
 
 // Feed reads a topic of the store for all instances of a zone but one: the
 // watcher of the zone, which reads the store itself and passes on what it read.
-// An instance whose watcher is silent or behind reads the store itself. The load
+// An instance whose watcher is silent or behind reads the store itself, and one
+// that the store does not answer asks any other instance. The load
 // that it answers is that of many instances, each call of which costs.
 type Feed struct {
 	roster *Roster
@@ -40,7 +42,8 @@
 // records is the answer to a request for records.
 type records struct {
 	Records []jaystore.Record `msgpack:"r"`
-	Next    int64             `msgpack:"n"`
+	// Next is the offset after all that the instance has read, -1 before anything was.
+	Next int64 `msgpack:"n"`
 }
 
 // request asks for records from an offset on.
@@ -66,8 +69,12 @@
 	list, end, err := f.store.Newest(ctx, topic)
 	if err == nil {
 		f.mirror.Answered(time.Now(), end)
+		return list, end, nil
 	}
-	return list, end, err //nolint:wrapcheck // The store's errors are those of jaystore.
+	if list, end, ok := f.askOther(ctx, -1); ok {
+		return list, end, nil
+	}
+	return nil, 0, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
 
 // Read returns records from an offset on, from the watcher as soon as it has
@@ -86,6 +93,10 @@
 	if err == nil {
 		// A read that was held tells what holds at its end.
 		f.mirror.Answered(time.Now(), next)
+		return list, next, nil
+	}
+	if jayerror.Is(err, jaystore.KindUnavailable) {
+		list, next, _ = f.askOther(ctx, from)
 	}
 	return list, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
@@ -139,6 +150,23 @@
 	return reply.Records, reply.Next, true
 }
 
+// askOther asks another instance for records while the store does not answer
+// this one: the store may turn single instances away. It reports false where
+// the other one knows no more.
+func (f *Feed) askOther(ctx context.Context, from int64) ([]jaystore.Record, int64, bool) {
+	other, ok := f.roster.other()
+	if !ok || ctx.Err() != nil {
+		return nil, 0, false
+	}
+	list, next, ok := f.ask(ctx, other.Peer, from)
+	if !ok || next <= from {
+		return nil, 0, false
+	}
+	f.roster.log.Info("records from another instance", "topic", f.topic, "instance", other.Name, "from", from, "next", next, "records", len(list))
+	f.mirror.Answered(time.Time{}, next)
+	return list, next, true
+}
+
 // serveMirror answers a request for records.
 func (r *Roster) serveMirror(body []byte) ([]byte, error) {
 	var asked request
@@ -177,6 +205,29 @@
 	return watcher.Peer, mirror.Next, at, true
 }
 
+// other returns an instance that is likely to have read the store lately: one
+// of those with the newest policy, in the own region where there is one.
+func (r *Roster) other() (jaymember.Status, bool) {
+	var best []jaymember.Status
+	config, near := int64(-1), false
+	for _, m := range *r.others.Load() {
+		if m.Silent || m.Leaving || m.Peer == "" || m.Config < config {
+			continue
+		}
+		inRegion := m.Region == r.self.Region
+		if m.Config > config || inRegion && !near {
+			best, config, near = nil, m.Config, inRegion
+		}
+		if inRegion == near {
+			best = append(best, m)
+		}
+	}
+	if len(best) == 0 {
+		return jaymember.Status{}, false
+	}
+	return best[rand.IntN(len(best))], true //nolint:gosec // A draw needs no secrecy.
+}
+
 // watch chooses the watcher of the zone: the instance with the least
 // incarnation among those that neither leave nor are silent.
 func (r *Roster) watch(self jaymember.Member, members []jaymember.Status) {
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -66,6 +66,8 @@
 	clients  sync.Map
 	watching atomic.Bool
 	watcher  atomic.Pointer[jaymember.Status]
+	// others are all other instances as of the last period.
+	others atomic.Pointer[[]jaymember.Status]
 }
 
 // mirrors holds the mirror of each topic.
@@ -139,6 +141,7 @@
 		self: p.Self, source: p.Source, writer: p.Writer, key: p.Key, log: p.Log, changed: p.Changed,
 		group: jaytask.NewGroup(), started: time.Now(),
 	}
+	r.others.Store(&[]jaymember.Status{})
 	s := &state{
 		view: jaymember.NewView(p.Self), listed: make(map[string]jaylist.Instance),
 		asking: make(map[string]bool), direct: make(map[string]bool),
--- a/jay/jayroster/roster_test.go
+++ b/jay/jayroster/roster_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jayroster"
 	"jayfield.example/jay/jaystore"
@@ -19,6 +21,18 @@
 	mu      sync.Mutex
 	records []jaystore.Record
 	reads   map[string]int
+	// refused holds the instances that the store turns away.
+	refused map[string]bool
+}
+
+// refuse has the store turn instances away from now on.
+func (s *store) refuse(names ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = make(map[string]bool)
+	for _, name := range names {
+		s.refused[name] = true
+	}
 }
 
 func (s *store) Put(_ context.Context, _ jaystore.Topic, key string, value []byte) error {
@@ -41,6 +55,9 @@
 func (r *reader) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.refused[r.name] {
+		return nil, 0, jayerror.New("newest", jaystore.KindUnavailable, "status 503")
+	}
 	return append([]jaystore.Record{}, r.records...), int64(len(r.records)), nil
 }
 
@@ -49,6 +66,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reads[r.name]++
+	if r.refused[r.name] {
+		return nil, 0, jayerror.New("read", jaystore.KindUnavailable, "status 503")
+	}
 	return append([]jaystore.Record{}, r.records[from:]...), int64(len(r.records)), nil
 }
 
@@ -61,6 +81,7 @@
 type instance struct {
 	roster *jayroster.Roster
 	feed   *jayroster.Feed
+	mirror *jaystore.Mirror
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	seen   []jaymember.Status
@@ -98,7 +119,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	mirror := jaystore.NewMirror(i.roster)
 	feed := i.roster.Feed(s.as(name), jaystore.TopicMembers, mirror, 2*time.Second, 0)
-	i.feed = feed
+	i.feed, i.mirror = feed, mirror
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -196,3 +217,37 @@
 		t.Error("the store was not asked")
 	}
 }
+
+// An instance that the store turns away gets new records from another one, also
+// of another zone, and so does one that starts while the store does.
+func TestRecordsFromAnotherInstance(t *testing.T) {
+	tests := map[string]func(t *testing.T, s *store) *instance{
+		"running": func(t *testing.T, s *store) *instance {
+			i := start(t, s, 0, "z0")
+			until(t, "the other instance", func() bool { return i.usable() == 1 })
+			s.refuse("i0")
+			return i
+		},
+		"starting": func(t *testing.T, s *store) *instance {
+			s.refuse("i0")
+			return start(t, s, 0, "z0")
+		},
+	}
+	for name, begin := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &store{reads: make(map[string]int)}
+			other := start(t, s, 1, "z1")
+			defer other.cancel()
+			refused := begin(t, s)
+			defer refused.cancel()
+			if err := s.Put(t.Context(), jaystore.TopicMembers, "news", nil); err != nil {
+				t.Fatal(err)
+			}
+			until(t, "the record at the refused instance", func() bool {
+				records, _ := refused.mirror.From(0)
+				return slices.ContainsFunc(records, func(r jaystore.Record) bool { return r.Key == "news" })
+			})
+		})
+	}
+}
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"jayfield.example/jay/jayerror"
 )
 
@@ -34,8 +36,8 @@
 
 // Retries bounds the calls that followers make to a store that does not answer.
 type Retries interface {
-	// Wait returns when a call may be made, or with an error when ctx ends.
-	Wait(ctx context.Context) error
+	// Reserve takes a call and tells how long to wait before it is made.
+	Reserve() *rate.Reservation
 }
 
 // FollowerOption is an option of a follower.
@@ -121,14 +123,14 @@
 		return nil
 	}
 	records, next, err := f.read(ctx)
-	if err != nil {
-		return err
-	}
 	if len(records) > 0 {
 		f.consumer.Apply(ctx, records)
+		f.next = next
+	}
+	if err == nil {
+		f.next = next
 	}
-	f.next = next
-	return nil
+	return err
 }
 
 // read reads what follows. A store that was lost is asked without waiting: a
@@ -171,8 +173,8 @@
 	}
 	pause := f.retry/2 + rand.N(f.retry/2) //nolint:gosec // Jitter needs no secrecy.
 	f.retry = min(2*f.retry, lastRetry)
-	if f.retries != nil && f.retries.Wait(ctx) != nil {
-		return 0 // The follower ends.
+	if f.retries != nil {
+		pause = max(pause, f.retries.Reserve().Delay())
 	}
 	return pause
 }
--- a/jay/jaystore/follower_test.go
+++ b/jay/jaystore/follower_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaystore"
 )
@@ -97,6 +99,11 @@
 			calls:  []string{"newest", "wait", "newest"},
 			seen:   []string{"replace a", "replace b"},
 		},
+		"records known from elsewhere": {
+			script: []answer{{records: a, next: 1}, {records: b, next: 2, err: down}, {next: 2}},
+			calls:  []string{"newest", "wait", "read"},
+			seen:   []string{"replace a", "apply b", "lost", "returned"},
+		},
 		"lost from the start": {
 			script: []answer{{err: down}, {records: a, next: 1}},
 			calls:  []string{"newest", "newest"},
@@ -119,14 +126,14 @@
 	}
 }
 
-// asked counts the waits of followers.
+// asked counts the calls that followers reserve.
 type asked struct {
-	waits int
+	calls int
 }
 
-func (a *asked) Wait(ctx context.Context) error {
-	a.waits++
-	return ctx.Err()
+func (a *asked) Reserve() *rate.Reservation {
+	a.calls++
+	return rate.NewLimiter(rate.Inf, 1).Reserve()
 }
 
 // A follower asks the shared bound before each retry, and not while the store answers.
@@ -134,7 +141,7 @@
 	down := jayerror.New("read", jaystore.KindUnavailable, "no answer")
 	tests := map[string]struct {
 		script []answer
-		waits  int
+		calls  int
 	}{
 		"sound":          {[]answer{{next: 1}, {next: 1}, {next: 1}}, 0},
 		"two calls fail": {[]answer{{next: 1}, {err: down}, {err: down}, {next: 1}}, 2},
@@ -146,8 +153,8 @@
 			r, retries := &reader{script: test.script, end: cancel}, &asked{}
 			jaystore.NewFollower(r, jaystore.TopicPolicy, &consumer{}, 0, slog.New(slog.DiscardHandler),
 				jaystore.WithRetries(retries)).Run(ctx)
-			if retries.waits != test.waits {
-				t.Errorf("%d retries were bounded, want %d", retries.waits, test.waits)
+			if retries.calls != test.calls {
+				t.Errorf("%d retries were bounded, want %d", retries.calls, test.calls)
 			}
 		})
 	}
--- a/jay/jaystore/log.go
+++ b/jay/jaystore/log.go
@@ -48,7 +48,8 @@
 	// Newest returns the newest record of each key and the offset to go on reading at.
 	Newest(ctx context.Context, topic Topic) (records []Record, end int64, err error)
 	// Read returns records from an offset on and the offset after them. It waits for a
-	// record where wait is set.
+	// record where wait is set. Where the store cannot be read, records that are known from
+	// elsewhere may come with the error.
 	Read(ctx context.Context, topic Topic, from int64, wait bool) (records []Record, next int64, err error)
 }
 
