--- a/jay/jayrelay/answer.go
+++ b/jay/jayrelay/answer.go
@@ -68,12 +68,13 @@
 	if x.choice.Upstream.ID == "" {
 		return nil
 	}
-	fields := []any{"upstream", x.choice.Upstream.ID, "wait", x.choice.Wait}
 	if !x.route.Prompt {
-		return fields
+		return []any{"upstream", x.choice.Upstream.ID, "wait", x.choice.Wait}
+	}
+	return []any{
+		"upstream", x.choice.Upstream.ID, "wait", x.choice.Wait, "apart", x.choice.Apart, "host", x.host.ID, "cached", x.choice.Cached,
+		"fetch", x.choice.Fetch, "reading", x.choice.Reading, "priority", x.choice.Priority, "read", x.readIn,
 	}
-	return append(fields, "apart", x.choice.Apart, "host", x.host.ID, "cached", x.choice.Cached, "fetch", x.choice.Fetch,
-		"reading", x.choice.Reading, "priority", x.choice.Priority, "read", x.readIn)
 }
 
 // endServed is the end of a request whose answer the caller has whole.
