--- /dev/null
+++ b/jay/jayrelay/event_test.go
@@ -0,0 +1,55 @@
+package jayrelay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+)
+
+func TestEventReader(t *testing.T) {
+	tests := map[string]struct {
+		stream string
+		ids    []int64
+		end    error
+	}{
+		"two events":         {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []int64{1, 2}, io.EOF},
+		"event without id":   {"data: a\n\n", []int64{-1}, io.EOF},
+		"carriage returns":   {"id: 7\r\ndata: a\r\n\r\n", []int64{7}, io.EOF},
+		"ends within one":    {"id: 1\ndata: a\n\nid: 2\nda", []int64{1}, io.ErrUnexpectedEOF},
+		"ends before a line": {"id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			reader := newEventReader(bytes.NewReader([]byte(test.stream)))
+			for _, want := range test.ids {
+				e, err := reader.next()
+				if err != nil || e.id != want {
+					t.Fatalf("id = %d, error = %v, want %d", e.id, err, want)
+				}
+			}
+			if _, err := reader.next(); !errors.Is(err, test.end) {
+				t.Errorf("error = %v, want %v", err, test.end)
+			}
+		})
+	}
+}
+
+// Events hold the bytes of the stream unchanged, and no byte is passed on twice.
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	f.Add([]byte("id: x\n\n\n\r\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		reader, passed := newEventReader(bytes.NewReader(stream)), 0
+		for {
+			e, err := reader.next()
+			if err != nil {
+				break
+			}
+			if !bytes.HasPrefix(stream[passed:], e.data) {
+				t.Fatalf("event %q is not what follows at %d", e.data, passed)
+			}
+			passed += len(e.data)
+		}
+	})
+}
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -205,6 +205,12 @@
 	r.group.Stop()
 	r.owner.Stop()
 	r.server.Stop()
+	r.clients.Range(func(_, value any) bool {
+		if client, ok := value.(*jaypeer.Client); ok {
+			client.Close()
+		}
+		return true
+	})
 }
 
 // announce writes the instance's place to the store until that has succeeded.
--- /dev/null
+++ b/jay/jaystore/model_test.go
@@ -0,0 +1,132 @@
+package jaystore_test
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaystore"
+)
+
+// model is a keyed topic whose older records may go, and which fails by draw.
+type model struct {
+	t       *rapid.T
+	records []jaystore.Record
+	first   int64
+	calls   int
+	end     context.CancelFunc
+}
+
+func (m *model) write() {
+	for range rapid.IntRange(0, 3).Draw(m.t, "writes") {
+		key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(m.t, "key")
+		value := rapid.SampledFrom([]string{"", "1", "2"}).Draw(m.t, "value")
+		m.records = append(m.records, jaystore.Record{Key: key, Value: []byte(value), Offset: int64(len(m.records))})
+	}
+	if rapid.IntRange(0, 3).Draw(m.t, "trim") == 0 {
+		m.first = rapid.Int64Range(m.first, int64(len(m.records))).Draw(m.t, "first")
+	}
+}
+
+// fail reports whether a call fails; the last calls of a run never do.
+func (m *model) fail() bool {
+	const faulty, last = 30, 34
+	if m.calls++; m.calls == last {
+		m.end()
+	}
+	if m.calls >= faulty {
+		return false
+	}
+	m.write()
+	return rapid.IntRange(0, 2).Draw(m.t, "fail") == 0
+}
+
+func (m *model) newest() map[string]jaystore.Record {
+	newest := make(map[string]jaystore.Record)
+	for _, r := range m.records {
+		newest[r.Key] = r
+	}
+	maps.DeleteFunc(newest, func(_ string, r jaystore.Record) bool { return len(r.Value) == 0 })
+	return newest
+}
+
+func (m *model) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+	if m.fail() {
+		return nil, 0, jayerror.New("newest", jaystore.KindUnavailable, "drawn")
+	}
+	var list []jaystore.Record
+	for _, r := range m.newest() {
+		list = append(list, r)
+	}
+	return list, int64(len(m.records)), nil
+}
+
+func (m *model) Read(_ context.Context, _ jaystore.Topic, from int64, _ bool) ([]jaystore.Record, int64, error) {
+	failed := m.fail()
+	end := int64(len(m.records))
+	if !failed && from < m.first {
+		return nil, 0, jayerror.New("read", jaystore.KindExpired, "drawn")
+	}
+	if !failed {
+		return m.records[from:], end, nil
+	}
+	err := jayerror.New("read", jaystore.KindUnavailable, "drawn")
+	if from >= m.first && rapid.Bool().Draw(m.t, "known elsewhere") {
+		to := rapid.Int64Range(from, end).Draw(m.t, "to")
+		return m.records[from:to], to, err
+	}
+	return nil, 0, err
+}
+
+// belief is a consumer that keeps the newest record of each key.
+type belief struct {
+	t      *rapid.T
+	newest map[string]jaystore.Record
+}
+
+func (b *belief) Apply(_ context.Context, records []jaystore.Record) {
+	for _, r := range records {
+		if known, ok := b.newest[r.Key]; ok && r.Offset <= known.Offset {
+			b.t.Fatalf("%s went from offset %d to %d", r.Key, known.Offset, r.Offset)
+		}
+		b.newest[r.Key] = r
+	}
+}
+
+func (b *belief) Replace(ctx context.Context, records []jaystore.Record, _ int64) {
+	clear(b.newest)
+	b.Apply(ctx, records)
+}
+
+func (*belief) Lost(context.Context, error) {}
+
+func (*belief) Returned(context.Context) {}
+
+// Whatever fails, is trimmed or comes from elsewhere: a follower ends with the
+// newest record of each key, and never goes back. Time is virtual.
+func TestFollowerAgainstOracle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(virtual{t}, follow)
+	})
+}
+
+// virtual hides the test's deadline, which is not one of virtual time.
+type virtual struct {
+	rapid.TB
+}
+
+func follow(t *rapid.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m, b := &model{t: t, end: cancel}, &belief{t: t, newest: make(map[string]jaystore.Record)}
+	jaystore.NewFollower(m, jaystore.TopicPolicy, b, 0, slog.New(slog.DiscardHandler)).Run(ctx)
+	maps.DeleteFunc(b.newest, func(_ string, r jaystore.Record) bool { return len(r.Value) == 0 })
+	if want := m.newest(); !maps.EqualFunc(b.newest, want, func(a, b jaystore.Record) bool { return a.Offset == b.Offset }) {
+		t.Fatalf("newest = %v, want %v", b.newest, want)
+	}
+}
