Pass on no heartbeats of upstreams, take the hash of an upstream once

Each engine writes its entry each 1.2 s; the zone's watcher passed all 2,500 records a second on to each instance, which decoded them, though only their sequence differed. Each placement hashed a joined text for each engine.

Change: a mirror leaves out records that repeat what it has of their key, and states its position by the last record that others need, so that nobody asks for heartbeats. Rendezvous hashing joins two hashes that were taken before.

--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -121,6 +121,17 @@
 	p.tell(ctx, func(b *beliefs) { b.fleet.Returned(time.Now()) })
 }
 
+// repeats reports whether a registry record says what is known from an earlier
+// one. Records that cannot be read repeat nothing.
+func (p *placer) repeats(known, repeat jaystore.Record) bool {
+	before, err := p.adapter.ReadUpstream(known.Key, known.Value)
+	if err != nil {
+		return false
+	}
+	after, err := p.adapter.ReadUpstream(repeat.Key, repeat.Value)
+	return err == nil && before.Same(after)
+}
+
 // Start notes that a request is sent to an upstream.
 func (p *placer) Start(id string) {
 	p.tell(context.Background(), func(b *beliefs) { b.table.Start(id) })
--- a/jay/jayfleet/fleet.go
+++ b/jay/jayfleet/fleet.go
@@ -69,12 +69,7 @@
 	if ok && (offset < known.offset || u.older(known.upstream)) {
 		return false
 	}
-	before := Upstream{}
-	if ok {
-		before = known.upstream
-		before.Sequence = u.Sequence
-	}
-	if !ok || before != u {
+	if !ok || !known.upstream.Same(u) {
 		f.changes++
 	}
 	f.entries[u.ID] = &entry{upstream: u, offset: offset}
--- a/jay/jayfleet/upstream.go
+++ b/jay/jayfleet/upstream.go
@@ -31,6 +31,12 @@
 	Sequence int64
 }
 
+// Same reports whether two statements say the same, whenever they were made.
+func (u Upstream) Same(other Upstream) bool {
+	u.Sequence = other.Sequence
+	return u == other
+}
+
 // older reports whether a statement is from before another of the same upstream.
 func (u Upstream) older(than Upstream) bool {
 	if u.Born != than.Born {
--- a/jay/jayplace/home.go
+++ b/jay/jayplace/home.go
@@ -1,6 +1,7 @@
 package jayplace
 
 import (
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -59,9 +60,9 @@
 // weight of engines that only read prompts grows with offload.
 func home(candidates []*upstream, w Work, offload float64) *upstream {
 	var best *upstream
-	top := 0.0
+	top, part := 0.0, xxhash.Sum64String(w.Shared)
 	for _, u := range candidates {
-		if score := rendezvous(u.spec.ID, w.Shared, stageWeight(u, w, offload)); best == nil || score > top {
+		if score := rendezvous(u.name, part, stageWeight(u, w, offload)); best == nil || score > top {
 			best, top = u, score
 		}
 	}
@@ -72,12 +73,12 @@
 // the least busy one of the reader's zone, or of all.
 func (t *Table) partner(now time.Time, candidates []*upstream, w Work, reader jayfleet.Upstream) *upstream {
 	var best *upstream
-	least := math.Inf(1)
+	least, id := math.Inf(1), xxhash.Sum64String(w.ID)
 	for _, u := range candidates {
 		if u.spec.Stage == jayfleet.StagePrefill {
 			continue
 		}
-		cost := float64(u.busy(now)) + float64(u.queued())/tokensPerSlot + draw(w.ID, u)
+		cost := float64(u.busy(now)) + float64(u.queued())/tokensPerSlot + draw(id, u)
 		if u.spec.Zone != reader.Zone {
 			cost += farPartner
 		}
@@ -88,9 +89,19 @@
 	return best
 }
 
-// draw returns a number below 1 that orders equal upstreams differently for each request.
-func draw(id string, u *upstream) float64 {
-	return float64(xxhash.Sum64String(id+"\x00"+u.spec.ID)>>1) / (1 << 63)
+// draw returns a number below 1 that orders equal upstreams differently for
+// each request, by the hash of its id.
+func draw(id uint64, u *upstream) float64 {
+	return float64(pair(u.name, id)>>1) / (1 << 63)
+}
+
+// pair returns the hash of two hashes. It allocates nothing, as it is taken of
+// each upstream for each request.
+func pair(a, b uint64) uint64 {
+	var both [16]byte
+	binary.LittleEndian.PutUint64(both[:], a)
+	binary.LittleEndian.PutUint64(both[8:], b)
+	return xxhash.Sum64(both[:])
 }
 
 // priority returns the engine's rank by the tokens to be read: short readings go first.
@@ -102,12 +113,11 @@
 	return rank
 }
 
-// rendezvous returns the weighted score of an id for a key: -w/ln(u) with u
-// uniform by hash (weighted rendezvous hashing).
-func rendezvous(id, key string, weight float64) float64 {
+// rendezvous returns the weighted score of an id for a key, by their hashes:
+// -w/ln(u) with u uniform by hash (weighted rendezvous hashing).
+func rendezvous(id, key uint64, weight float64) float64 {
 	const mantissa = 53
-	hash := xxhash.Sum64String(id + "\x00" + key)
-	uniform := (float64(hash>>(64-mantissa)) + 0.5) / (1 << mantissa)
+	uniform := (float64(pair(id, key)>>(64-mantissa)) + 0.5) / (1 << mantissa)
 	return -weight / math.Log(uniform)
 }
 
--- a/jay/jayplace/table.go
+++ b/jay/jayplace/table.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jayfleet"
 )
@@ -90,9 +92,9 @@
 // choosePlain returns the upstream with the earliest expected answer.
 func (t *Table) choosePlain(now time.Time, candidates []*upstream, w Work) Choice {
 	var best *upstream
-	least := time.Duration(0)
+	least, id := time.Duration(0), xxhash.Sum64String(w.ID)
 	for _, u := range candidates {
-		wait := u.plainWait(now) + time.Duration(draw(w.ID, u)*float64(drawSpread))
+		wait := u.plainWait(now) + time.Duration(draw(id, u)*float64(drawSpread))
 		if best == nil || wait < least {
 			best, least = u, wait
 		}
--- a/jay/jayplace/upstream.go
+++ b/jay/jayplace/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jayfield.example/jay/jayfleet"
 	"jayfield.example/jay/jaymember"
 )
@@ -32,6 +34,8 @@
 	distance time.Duration
 	region   string
 
+	// name is the hash of the id, hash its short form in statements to other instances.
+	name uint64
 	hash uint32
 
 	// own is this instance's own work there, elsewhere what the other instances state of theirs.
@@ -49,7 +53,7 @@
 }
 
 func newUpstream(spec jayfleet.Upstream) *upstream {
-	return &upstream{spec: spec, work: firstWork.Seconds(), hash: hash32(spec.ID), kept: kept{used: make(map[uint32]time.Time)}}
+	return &upstream{spec: spec, work: firstWork.Seconds(), name: xxhash.Sum64String(spec.ID), hash: hash32(spec.ID), kept: kept{used: make(map[uint32]time.Time)}}
 }
 
 // busy estimates the requests at the upstream: the own ones and those that
--- a/jay/jaystore/mirror.go
+++ b/jay/jaystore/mirror.go
@@ -13,15 +13,32 @@
 // concurrent use.
 type Mirror struct {
 	Consumer
+	// same reports whether a record only repeats an earlier one of its key, nil where none does.
+	same    func(known, repeat Record) bool
 	mu      sync.Mutex
 	records map[string]Record
-	next    int64
-	read    time.Time
+	// next is the offset after all that was read, changed that after the last record that was kept.
+	next, changed int64
+	read          time.Time
+}
+
+// MirrorOption is an option of a mirror.
+type MirrorOption func(*Mirror)
+
+// WithoutRepeats has a mirror not pass on records that only repeat what it has
+// of their key, such as heartbeats. The load that it answers is that of many
+// upstreams, each of which writes about once a second.
+func WithoutRepeats(same func(known, repeat Record) bool) MirrorOption {
+	return func(m *Mirror) { m.same = same }
 }
 
 // NewMirror returns an empty mirror before a consumer.
-func NewMirror(consumer Consumer) *Mirror {
-	return &Mirror{Consumer: consumer, records: make(map[string]Record), next: -1}
+func NewMirror(consumer Consumer, options ...MirrorOption) *Mirror {
+	m := &Mirror{Consumer: consumer, records: make(map[string]Record), next: -1}
+	for _, option := range options {
+		option(m)
+	}
+	return m
 }
 
 // Apply takes in records and passes them on.
@@ -57,12 +74,12 @@
 	return records, m.next
 }
 
-// Position returns the offset after all that was read, -1 before anything was,
-// and when the store last answered.
-func (m *Mirror) Position() (next int64, read time.Time) {
+// Position returns the offset after the last record that others need, -1 before
+// anything was read, and when the store last answered.
+func (m *Mirror) Position() (changed int64, read time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.next, m.read
+	return min(m.changed, m.next), m.read
 }
 
 // Replace takes in a snapshot and passes it on.
@@ -76,6 +93,7 @@
 		if !present[key] && r.Offset < end {
 			// The end of a key is kept for instances that have read less.
 			m.records[key] = Record{Key: key, Offset: end - 1}
+			m.changed = max(m.changed, end)
 		}
 	}
 	m.put(records)
@@ -85,8 +103,11 @@
 
 func (m *Mirror) put(records []Record) {
 	for _, r := range records {
-		if known, ok := m.records[r.Key]; !ok || r.Offset >= known.Offset {
-			m.records[r.Key] = r
+		known, ok := m.records[r.Key]
+		if ok && (r.Offset < known.Offset || m.same != nil && m.same(known, r)) {
+			continue
 		}
+		m.records[r.Key] = r
+		m.changed = max(m.changed, r.Offset+1)
 	}
 }
