Eject upstreams by the sends of all instances

With 76 or 89 instances each sends to an engine once in 20 s, so none finds out by itself: four failures in a row were needed at one instance, and the spells last 1 to 6 s.

Change: instances state how their sends of the last 2 s ended, of upstreams to which any of them failed to send. Where three or more failed, and more than were served, all eject the upstream, for as long as single instances would.

--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -169,16 +169,22 @@
 // others takes in what the other instances state of their work.
 func (p *placer) others(members []jaymember.Status) {
 	now := time.Now()
-	work, read := jayroster.Work(now, members), jayroster.Read(members)
+	work, read, tallies := jayroster.Work(now, members), jayroster.Read(members), jayroster.Tallies(now, members)
 	p.tell(context.Background(), func(b *beliefs) {
 		b.table.Others(work)
 		b.table.HeardRead(now, read)
+		for _, id := range b.table.HeardTallies(now, tallies) {
+			p.log.Info("upstream ejected", "upstream", id, "reason", "most sends of all instances fail")
+		}
 	})
 }
 
 // state fills in this instance's own work and what it had read.
 func (p *placer) state(ctx context.Context, member *jaymember.Member) {
-	err := p.owner.Ask(ctx, func(b *beliefs) { member.Work, member.Read = b.table.Own(), b.table.Stated(time.Now()) })
+	err := p.owner.Ask(ctx, func(b *beliefs) {
+		now := time.Now()
+		member.Work, member.Read, member.Tallies = b.table.Own(), b.table.Stated(now), b.table.Tallies(now)
+	})
 	if err != nil {
 		p.log.Warn("own work not stated", "error", err)
 	}
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -26,6 +26,9 @@
 	Work map[string]Work `msgpack:"k,omitempty" json:"work,omitempty"`
 	// Read lists prompt parts that the instance has lately had read, where it states them.
 	Read []Read `msgpack:"e,omitempty" json:"read,omitempty"`
+	// Tallies tell how sends to upstreams have lately ended, of those to which any instance
+	// has failed to send, where the instance states it.
+	Tallies []Tally `msgpack:"t,omitempty" json:"tallies,omitempty"`
 	// Mirrors say how far the instance has read the topics of the store, where it states it.
 	Mirrors map[string]Mirror `msgpack:"m,omitempty" json:"mirrors,omitempty"`
 	// Sequence grows with each statement of one incarnation.
@@ -66,6 +69,18 @@
 	Part     uint32 `msgpack:"p"`
 }
 
+// Tally counts how the sends to an upstream, given by the hash of its id, ended lately.
+type Tally struct {
+	Upstream uint32 `msgpack:"u"`
+	Served   int    `msgpack:"s"`
+	Failed   int    `msgpack:"f"`
+}
+
+// Plus returns the sum of two instances' tallies of an upstream.
+func (t Tally) Plus(other Tally) Tally {
+	return Tally{Upstream: t.Upstream, Served: t.Served + other.Served, Failed: t.Failed + other.Failed}
+}
+
 // Plus returns the sum of two demands.
 func (d Demand) Plus(other Demand) Demand {
 	return Demand{Prompt: d.Prompt + other.Prompt, Output: d.Output + other.Output}
--- a/jay/jayplace/track.go
+++ b/jay/jayplace/track.go
@@ -14,6 +14,7 @@
 		return false
 	}
 	u.own.Running = max(0, u.own.Running-1)
+	u.tally.note(now, outcome)
 	if outcome == OutcomeServed && !prompt {
 		worked := max(0, took-u.distance).Seconds()
 		u.work += weightNew * (worked - u.work)
--- a/jay/jayplace/upstream.go
+++ b/jay/jayplace/upstream.go
@@ -48,7 +48,8 @@
 	// ownThen is this instance's running work when the load figure came.
 	ownThen int
 
-	kept kept
+	kept  kept
+	tally tally
 	health
 }
 
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -186,6 +186,20 @@
 	return sum
 }
 
+// Tallies returns the sums of what other instances state of sends to upstreams.
+func Tallies(now time.Time, members []jaymember.Status) map[uint32]jaymember.Tally {
+	sums := make(map[uint32]jaymember.Tally)
+	for _, m := range members {
+		if m.Silent || now.Sub(m.Heard) > statementTrust {
+			continue
+		}
+		for _, t := range m.Tallies {
+			sums[t.Upstream] = t.Plus(sums[t.Upstream])
+		}
+	}
+	return sums
+}
+
 // Read returns the prompt parts that other instances state as lately read.
 func Read(members []jaymember.Status) []jaymember.Read {
 	var read []jaymember.Read
