--- a/jay/jayplace/mix_test.go
+++ b/jay/jayplace/mix_test.go
@@ -31,7 +31,7 @@
 func TestHomesFollowTheMix(t *testing.T) {
 	const usual, long = 150, 700
 	tests := map[string]struct {
-		before, seconds int
+		answer, seconds int
 		moved           bool
 	}{
 		"usual answers":      {usual, 30, false},
@@ -44,9 +44,9 @@
 			start := start
 			first := ask(t, table, start, 30, usual)
 			start = start.Add(30 * time.Second)
-			ask(t, table, start, test.seconds, test.before)
+			ask(t, table, start, test.seconds, test.answer)
 			start = start.Add(time.Duration(test.seconds) * time.Second)
-			if after := ask(t, table, start, 1, test.before); (after > first) != test.moved {
+			if after := ask(t, table, start, 1, test.answer); (after > first) != test.moved {
 				t.Errorf("share read apart was %.2f and is %.2f, moved = %v wanted", first, after, test.moved)
 			}
 			if back := ask(t, table, start.Add(time.Minute), 30, usual); back < first-0.05 || back > first+0.05 {
