--- a/jay/jaystore/mirror.go
+++ b/jay/jaystore/mirror.go
@@ -26,8 +26,7 @@
 type MirrorOption func(*Mirror)
 
 // WithoutRepeats has a mirror not pass on records that only repeat what it has
-// of their key, such as heartbeats. The load that it answers is that of many
-// upstreams, each of which writes about once a second.
+// of their key, such as those of writers that state the same again.
 func WithoutRepeats(same func(known, repeat Record) bool) MirrorOption {
 	return func(m *Mirror) { m.same = same }
 }
--- a/jayfieldd/internal/jaydaemon/main_test.go
+++ b/jayfieldd/internal/jaydaemon/main_test.go
@@ -37,6 +37,9 @@
 const (
 	firstPort = 20_000
 	portCount = 9_000
+	// portSpacing keeps the ports of processes with neighbouring numbers apart: a port is free
+	// for a moment while its instance starts again, and another process might take it.
+	portSpacing = 1_009
 )
 
 // lastPort counts the ports given out.
@@ -45,7 +48,7 @@
 // freeAddress returns an address that nothing listens at.
 func freeAddress() string {
 	for {
-		port := firstPort + (int64(os.Getpid())*13+lastPort.Add(1))%portCount
+		port := firstPort + (int64(os.Getpid())*portSpacing+lastPort.Add(1))%portCount
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
