--- a/jayfieldd/internal/jaydaemon/soak_test.go
+++ b/jayfieldd/internal/jaydaemon/soak_test.go
@@ -75,37 +75,51 @@
 	first := soakSetting(t, "JAYFIELD_SOAK_SEED", 1)
 	seconds := time.Duration(soakSetting(t, "JAYFIELD_SOAK_TIME", 6)) * time.Second
 	for seed := first; seed < first+soakSetting(t, "JAYFIELD_SOAK_SEEDS", 2); seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			s := newSoak(t, uint64(seed))
-			s.settle("at the start")
-			ctx, cancel := context.WithTimeout(t.Context(), seconds)
-			defer cancel()
-			var callers sync.WaitGroup
-			for range 8 {
-				callers.Go(func() {
-					for ctx.Err() == nil {
-						s.call()
-					}
-				})
-			}
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSoak(t, uint64(seed), seconds) })
+	}
+}
+
+// Seeds that once failed, by the cause of their failure.
+func TestSoakRegressions(t *testing.T) {
+	tests := map[string]uint64{
+		"the port of an instance is taken while it starts again": 7,
+	}
+	for name, seed := range tests {
+		t.Run(name, func(t *testing.T) { runSoak(t, seed, 4*time.Second) })
+	}
+}
+
+// runSoak injects faults by a seed for a time, and checks what is seen meanwhile and after it.
+func runSoak(t *testing.T, seed uint64, length time.Duration) {
+	t.Helper()
+	s := newSoak(t, seed)
+	s.settle("at the start")
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
 			for ctx.Err() == nil {
-				s.fault()
-				time.Sleep(time.Duration(50+s.random.IntN(500)) * time.Millisecond)
-			}
-			callers.Wait()
-			s.mend()
-			s.settle("after all faults")
-			t.Logf("served %d, not served %d", s.served.Load(), s.failed.Load())
-			if s.served.Load() == 0 {
-				t.Error("nothing was served")
-			}
-			select {
-			case what := <-s.broken:
-				t.Error(what)
-			default:
+				s.call()
 			}
 		})
 	}
+	for ctx.Err() == nil {
+		s.fault()
+		time.Sleep(time.Duration(50+s.random.IntN(500)) * time.Millisecond)
+	}
+	callers.Wait()
+	s.mend()
+	s.settle("after all faults")
+	t.Logf("served %d, not served %d", s.served.Load(), s.failed.Load())
+	if s.served.Load() == 0 {
+		t.Error("nothing was served")
+	}
+	select {
+	case what := <-s.broken:
+		t.Error(what)
+	default:
+	}
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
