Show how many bytes of a reply arrived and how much a watcher sends

Cause: in the incident a watcher that is silent and one whose link is busy gave the same log line, and no metric showed what instances send to each other, so two hypotheses could not be told apart. Change: the error of a request without a reply says how many bytes arrived meanwhile, the log line how long the fetch took; each instance counts the replies and bytes that it sends of each topic of the store.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -212,7 +212,7 @@
 	}
 	e.roster = jayroster.Start(jayroster.Options{
 		Self: e.self, Source: e, Writer: store, Key: []byte(e.settings.PeerKey),
-		Listener: listeners[e.settings.Peer], Log: e.log, Changed: e.membersChanged,
+		Listener: listeners[e.settings.Peer], Log: e.log, Series: e.series, Changed: e.membersChanged,
 	})
 	return nil
 }
--- a/jay/jaymetric/exposition.go
+++ b/jay/jaymetric/exposition.go
@@ -34,6 +34,11 @@
 	e.set.GetOrCreateCounter(series(name, labels)).Inc()
 }
 
+// Add adds a number to a counter.
+func (e *Exposition) Add(name string, n int, labels ...Label) {
+	e.set.GetOrCreateCounter(series(name, labels)).Add(n)
+}
+
 // Gauge shows the value that read returns each time.
 func (e *Exposition) Gauge(name string, read func() float64) {
 	e.set.GetOrCreateGauge(series(name, nil), read)
--- a/jay/jaypeer/client.go
+++ b/jay/jaypeer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jayfield.example/jay/jayerror"
@@ -73,7 +74,7 @@
 
 // link is one connection with its waiting requests.
 type link struct {
-	conn   net.Conn
+	conn   *countingConn
 	group  *jaytask.Group
 	writes chan Envelope
 	mu     sync.Mutex
@@ -83,7 +84,7 @@
 
 func newLink(conn net.Conn) *link {
 	l := &link{
-		conn:   conn,
+		conn:   &countingConn{Conn: conn},
 		group:  jaytask.NewGroup(),
 		writes: make(chan Envelope, maxPending),
 		waits:  make(map[uint64]chan Envelope),
@@ -97,6 +98,19 @@
 	return l
 }
 
+// countingConn counts the bytes that it has read.
+type countingConn struct {
+	net.Conn
+	received atomic.Int64
+}
+
+// Read reads from the connection.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err //nolint:wrapcheck // Readers depend on the connection's own errors.
+}
+
 func (l *link) alive() bool {
 	return l.group.Context().Err() == nil
 }
@@ -113,6 +127,7 @@
 	default:
 		return nil, jayerror.New("ask", KindBusy, "queue to the instance is full")
 	}
+	before := l.conn.received.Load()
 	timer := time.NewTimer(bound)
 	defer timer.Stop()
 	select {
@@ -123,7 +138,7 @@
 		return reply.Body, nil
 	case <-timer.C:
 		go l.group.Stop()
-		return nil, jayerror.Newf("ask", KindSilent, "no reply within %s", bound)
+		return nil, jayerror.Newf("ask", KindSilent, "no reply within %s, in which %d bytes arrived", bound, l.conn.received.Load()-before)
 	case <-ctx.Done():
 		return nil, jayerror.Wrap("ask", KindSilent, ctx.Err())
 	case <-l.group.Context().Done():
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -16,6 +16,7 @@
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaypeer"
 	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jaytask"
@@ -49,6 +50,12 @@
 	FillHeartbeat(member *jaymember.Member)
 }
 
+// Series counts what instances send to each other.
+type Series interface {
+	// Add adds a number to a counter.
+	Add(name string, n int, labels ...jaymetric.Label)
+}
+
 // Roster is one instance's view of the other instances. It is safe for concurrent use.
 type Roster struct {
 	self    jaymember.Member
@@ -59,6 +66,7 @@
 	group   *jaytask.Group
 	server  *jaypeer.Server
 	log     *slog.Logger
+	series  Series
 	changed func(members []jaymember.Status)
 	started time.Time
 
@@ -131,6 +139,7 @@
 	Key      []byte
 	Listener net.Listener
 	Log      *slog.Logger
+	Series   Series
 	// Changed is called with all other members on each tick.
 	Changed func(members []jaymember.Status)
 }
@@ -138,7 +147,7 @@
 // Start registers the instance in the store and begins to exchange heartbeats.
 func Start(options Options) *Roster {
 	r := &Roster{
-		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, log: options.Log, changed: options.Changed,
+		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, log: options.Log, series: options.Series, changed: options.Changed,
 		group: jaytask.NewGroup(), started: time.Now(),
 	}
 	r.others.Store(&[]jaymember.Status{})
--- a/jay/jayroster/roster_test.go
+++ b/jay/jayroster/roster_test.go
@@ -12,6 +12,7 @@
 
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jayroster"
 	"jayfield.example/jay/jaystore"
 )
@@ -109,7 +110,7 @@
 	i := &instance{}
 	i.roster = jayroster.Start(jayroster.Options{
 		Self:   jaymember.Member{Name: name, Incarnation: fmt.Sprintf("%03d", n), Address: name, Peer: listener.Addr().String(), Region: zone, Zone: zone, Config: -1},
-		Source: source{}, Writer: s, Key: []byte("0123456789abcdef"), Listener: listener, Log: log,
+		Source: source{}, Writer: s, Key: []byte("0123456789abcdef"), Listener: listener, Log: log, Series: jaymetric.NewExposition(),
 		Changed: func(members []jaymember.Status) {
 			i.mu.Lock()
 			defer i.mu.Unlock()
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -9,6 +9,7 @@
 
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaypeer"
 	"jayfield.example/jay/jaystore"
 )
@@ -136,6 +137,7 @@
 // fetch requests records from the instance at an address. It reports false if the request
 // fails or the instance has read less than from.
 func (t *TopicReader) fetch(ctx context.Context, address string, from int64) ([]jaystore.Record, int64, bool) {
+	start := time.Now()
 	body, err := msgpack.Marshal(mirrorRequest{Topic: t.topic, From: from})
 	if err == nil {
 		body, err = t.roster.client(address).Ask(ctx, jaypeer.TopicMirror, body, jaypeer.SilentBound)
@@ -145,7 +147,8 @@
 		err = msgpack.Unmarshal(body, &reply)
 	}
 	if err != nil || reply.Next < from {
-		t.roster.log.Info("watcher or other instance did not supply records", "topic", t.topic, "address", address, "next", reply.Next, "error", err)
+		t.roster.log.Info("watcher or other instance did not supply records", "topic", t.topic, "address", address, "next", reply.Next,
+			"took", time.Since(start), "error", err)
 		return nil, 0, false
 	}
 	return reply.Records, reply.Next, true
@@ -183,6 +186,9 @@
 	if err != nil {
 		return nil, jayerror.Wrap("mirror", KindFormat, err)
 	}
+	label := jaymetric.Label{Name: "topic", Value: string(req.Topic)}
+	r.series.Add("mirror_replies_total", 1, label)
+	r.series.Add("mirror_reply_bytes_total", len(reply), label)
 	return reply, nil
 }
 
