--- a/jay/jaypeer/client.go
+++ b/jay/jaypeer/client.go
@@ -20,18 +20,36 @@
 	maxPending = 256
 )
 
+// Dialer opens connections to instances.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// ClientOption configures a client.
+type ClientOption func(*Client)
+
+// WithDialer makes a client open its connections with a dialer other than that of package net.
+func WithDialer(dialer Dialer) ClientOption {
+	return func(c *Client) { c.dialer = dialer }
+}
+
 // Client sends requests to one instance over one connection, which it
 // makes when needed and replaces when it is silent. It is safe for concurrent use.
 type Client struct {
 	address string
 	key     []byte
+	dialer  Dialer
 	mu      sync.Mutex
 	link    *link
 }
 
 // NewClient returns a client of the instance at an address such as 127.0.0.1:7300.
-func NewClient(address string, key []byte) *Client {
-	return &Client{address: address, key: key}
+func NewClient(address string, key []byte, options ...ClientOption) *Client {
+	c := &Client{address: address, key: key, dialer: &net.Dialer{Timeout: dialBound}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Ask sends a request and returns the body of its reply. KindUnreachable and
@@ -59,8 +77,7 @@
 	if c.link != nil && c.link.alive() {
 		return c.link, nil
 	}
-	dialer := net.Dialer{Timeout: dialBound}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	conn, err := c.dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, jayerror.Wrap("dial", KindUnreachable, err)
 	}
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -62,6 +62,7 @@
 	source  Source
 	writer  jaystore.Writer
 	key     []byte
+	options []jaypeer.ClientOption
 	owner   *jaytask.Owner[state]
 	group   *jaytask.Group
 	server  *jaypeer.Server
@@ -138,8 +139,10 @@
 	Writer   jaystore.Writer
 	Key      []byte
 	Listener net.Listener
-	Log      *slog.Logger
-	Series   Series
+	// Client configures the connections to other instances.
+	Client []jaypeer.ClientOption
+	Log    *slog.Logger
+	Series Series
 	// Changed is called with all other members on each tick.
 	Changed func(members []jaymember.Status)
 }
@@ -147,7 +150,7 @@
 // Start registers the instance in the store and begins to exchange heartbeats.
 func Start(options Options) *Roster {
 	r := &Roster{
-		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, log: options.Log, series: options.Series, changed: options.Changed,
+		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, options: options.Client, log: options.Log, series: options.Series, changed: options.Changed,
 		group: jaytask.NewGroup(), started: time.Now(),
 	}
 	r.others.Store(&[]jaymember.Status{})
@@ -173,7 +176,7 @@
 			return client
 		}
 	}
-	client := jaypeer.NewClient(address, r.key)
+	client := jaypeer.NewClient(address, r.key, r.options...)
 	r.clients.Store(address, client)
 	return client
 }
