Interrupt only the wait for records, not their transfer

Callers got requests handled by an old policy. Change: Reader.Read takes a channel that ends a long poll, but not a transfer that has begun. The in-memory network of the failing test moves to jaystandin, for tests of other packages. Result: TestFollowerReadNowInterruptsWaitOnly (transfer) fails if the read is cancelled as before, and passes now.

--- a/jay/jayroster/fanout_test.go
+++ b/jay/jayroster/fanout_test.go
@@ -13,11 +13,13 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaypeer"
 	"jayfield.example/jay/jayroster"
+	"jayfield.example/jay/jaystandin"
 	"jayfield.example/jay/jaystore"
 )
 
@@ -50,17 +52,19 @@
 func (*policyTopic) Put(context.Context, jaystore.Topic, string, []byte) error { return nil }
 
 func (p *policyTopic) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
-	return p.Read(ctx, topic, 0, false)
+	return p.Read(ctx, topic, 0, nil)
 }
 
-func (p *policyTopic) Read(ctx context.Context, _ jaystore.Topic, from int64, wait bool) ([]jaystore.Record, int64, error) {
+func (p *policyTopic) Read(ctx context.Context, _ jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
 	p.mu.Lock()
 	end, changed := int64(len(p.records)), p.changed
 	p.mu.Unlock()
-	if wait && end <= from {
+	if interrupt != nil && end <= from {
 		select {
 		case <-changed:
 		case <-time.After(pollWait):
+		case <-interrupt:
+			return nil, from, jayerror.New("read", jaystore.KindInterrupted, "interrupted")
 		case <-ctx.Done():
 			return nil, from, ctx.Err()
 		}
@@ -151,14 +155,15 @@
 func newPolicyZone(ctx context.Context, count int) *policyZone {
 	z := &policyZone{topic: &policyTopic{changed: make(chan struct{})}}
 	ctx, z.cancel = context.WithCancel(ctx)
-	network, log := newNetwork(), slog.New(slog.DiscardHandler)
+	network, log := jaystandin.NewNetwork(), slog.New(slog.DiscardHandler)
 	var list []jaystore.Record
 	for n := range count {
-		h := network.host(fmt.Sprintf("10.0.0.%d:7000", n+1), slowLink)
+		address := fmt.Sprintf("10.0.0.%d:7000", n+1)
+		h := network.Host(address, slowLink)
 		i := &policyInstance{version: -1, appliedAt: make(map[int64]time.Time)}
-		self := jaymember.Member{Name: fmt.Sprint("i", n), Incarnation: fmt.Sprintf("%03d", n), Address: h.address, Peer: h.address, Region: "r", Zone: "z", Config: -1}
+		self := jaymember.Member{Name: fmt.Sprint("i", n), Incarnation: fmt.Sprintf("%03d", n), Address: address, Peer: address, Region: "r", Zone: "z", Config: -1}
 		i.roster = jayroster.Start(jayroster.Options{
-			Self: self, Source: i, Writer: z.topic, Key: []byte("0123456789abcdef"), Listener: h.listen(), Log: log,
+			Self: self, Source: i, Writer: z.topic, Key: []byte("0123456789abcdef"), Listener: h.Listen(), Log: log,
 			Series: jaymetric.NewExposition(), Client: []jaypeer.ClientOption{jaypeer.WithDialer(h)}, Changed: i.checkLag,
 		})
 		value, _ := msgpack.Marshal(jaylist.Instance{
@@ -234,7 +239,6 @@
 				second := time.Now()
 				z.topic.put(policyText(test.routes + 1))
 				time.Sleep(time.Minute)
-				t.Log("slowest", z.slowest(1, first), z.slowest(2, second))
 				if took := z.slowest(1, first); took > applyBound {
 					t.Errorf("first policy in force after %s, want at most %s", took, applyBound)
 				}
--- a/jay/jayroster/roster_test.go
+++ b/jay/jayroster/roster_test.go
@@ -62,7 +62,7 @@
 	return append([]jaystore.Record{}, r.records...), int64(len(r.records)), nil
 }
 
-func (r *reader) Read(_ context.Context, _ jaystore.Topic, from int64, _ bool) ([]jaystore.Record, int64, error) {
+func (r *reader) Read(_ context.Context, _ jaystore.Topic, from int64, _ <-chan struct{}) ([]jaystore.Record, int64, error) {
 	time.Sleep(20 * time.Millisecond)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -210,7 +210,7 @@
 	s.mu.Lock()
 	end := int64(len(s.records))
 	s.mu.Unlock()
-	if _, _, err := other.reader.Read(t.Context(), jaystore.TopicMembers, end, false); err != nil {
+	if _, _, err := other.reader.Read(t.Context(), jaystore.TopicMembers, end, nil); err != nil {
 		t.Fatal(err)
 	}
 	s.mu.Lock()
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -80,8 +80,8 @@
 
 // Read returns records from an offset on, from the watcher as soon as it has
 // some, or from the store.
-func (t *TopicReader) Read(ctx context.Context, topic jaystore.Topic, from int64, wait bool) ([]jaystore.Record, int64, error) {
-	if list, next, ok := t.readWatcher(ctx, from, wait); ok {
+func (t *TopicReader) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+	if list, next, ok := t.readWatcher(ctx, from, interrupt); ok {
 		return list, next, nil
 	}
 	if t.minInterval > 0 {
@@ -90,7 +90,7 @@
 		}
 		t.lastRead = time.Now()
 	}
-	list, next, err := t.store.Read(ctx, topic, from, wait)
+	list, next, err := t.store.Read(ctx, topic, from, interrupt)
 	if err == nil {
 		// The reply to a long poll reflects the store when the poll ends, so the time is taken now.
 		t.mirror.MarkRead(time.Now(), next)
@@ -102,9 +102,9 @@
 	return list, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
 
-// readWatcher returns records from the watcher; if wait is set, it waits until there
-// are some. It reports false if the store is to be read.
-func (t *TopicReader) readWatcher(ctx context.Context, from int64, wait bool) ([]jaystore.Record, int64, bool) {
+// readWatcher returns records from the watcher; it waits until there are some, unless
+// interrupt is nil. It reports false if the store is to be read.
+func (t *TopicReader) readWatcher(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, bool) {
 	for ctx.Err() == nil {
 		watcher, next, at, ok := t.roster.watcherPosition(t.topic, t.maxAge)
 		switch {
@@ -118,7 +118,7 @@
 				t.mirror.MarkRead(at, next)
 			}
 			return list, next, ok
-		case !wait:
+		case interrupt == nil:
 			t.mirror.MarkRead(at, from)
 			// A read without waiting of a long-polled topic was triggered by a record that the
 			// watcher does not have: the watcher may be cut off from the store.
@@ -128,6 +128,8 @@
 		}
 		select {
 		case <-time.After(watcherPollInterval):
+		case <-interrupt:
+			return nil, 0, false
 		case <-ctx.Done():
 		}
 	}
--- a/jay/jayroster/network_test.go
+++ b/jay/jaystandin/network.go
@@ -1,4 +1,4 @@
-package jayroster_test
+package jaystandin
 
 import (
 	"bytes"
@@ -6,30 +6,35 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
-// network connects the hosts of a test in memory. In a synctest bubble, its links take virtual time.
-type network struct {
+// Network connects hosts in memory. In a synctest bubble, its links take virtual time.
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
 }
 
-func newNetwork() *network {
-	return &network{listeners: make(map[string]*memoryListener)}
+// NewNetwork returns a network without hosts.
+func NewNetwork() *Network {
+	return &Network{listeners: make(map[string]*memoryListener)}
 }
 
-// host is a host with one address and one uplink, which its connections share.
-type host struct {
-	network *network
+// Host has one address and one uplink, which its connections share.
+type Host struct {
+	network *Network
 	address string
 	uplink  *uplink
 }
 
-func (n *network) host(address string, bytesPerSecond int) *host {
-	return &host{network: n, address: address, uplink: &uplink{bytesPerSecond: bytesPerSecond}}
+// Host returns a new host whose uplink carries a number of bytes per second.
+func (n *Network) Host(address string, bytesPerSecond int) *Host {
+	return &Host{network: n, address: address, uplink: &uplink{bytesPerSecond: bytesPerSecond}}
 }
 
-func (h *host) listen() net.Listener {
+// Listen returns a listener on the address of the host.
+func (h *Host) Listen() net.Listener {
 	h.network.mu.Lock()
 	defer h.network.mu.Unlock()
 	l := &memoryListener{host: h, conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -37,10 +42,14 @@
 	return l
 }
 
-func (h *host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+// DialContext connects to the host that listens on an address.
+func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	h.network.mu.Lock()
-	l := h.network.listeners[address]
+	l, ok := h.network.listeners[address]
 	h.network.mu.Unlock()
+	if !ok {
+		return nil, errors.Errorf("no host listens on %s", address)
+	}
 	near, far := net.Pipe()
 	select {
 	case l.conns <- newPacedConn(far, l.host.uplink):
@@ -48,17 +57,18 @@
 	case <-l.closed:
 		return nil, net.ErrClosed
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, errors.WithStack(ctx.Err())
 	}
 }
 
 type memoryListener struct {
-	host   *host
+	host   *Host
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
 }
 
+// Accept returns the next connection.
 func (l *memoryListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
@@ -68,11 +78,13 @@
 	}
 }
 
+// Close ends Accept.
 func (l *memoryListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return nil
 }
 
+// Addr returns the address of the host.
 func (l *memoryListener) Addr() net.Addr { return &net.UnixAddr{Name: l.host.address} }
 
 // pacedConn buffers what is written to it and sends it no faster than its uplink allows.
@@ -96,11 +108,15 @@
 }
 
 func (c *pacedConn) send() {
-	defer c.Close()
+	defer c.Close() //nolint:errcheck // The other end is gone.
 	for {
 		select {
 		case packet := <-c.packets:
-			c.uplink.send(len(packet))
+			select {
+			case <-time.After(c.uplink.reserve(len(packet))):
+			case <-c.closed:
+				return
+			}
 			if _, err := c.Conn.Write(packet); err != nil {
 				return
 			}
@@ -110,6 +126,7 @@
 	}
 }
 
+// Write buffers data to be sent.
 func (c *pacedConn) Write(p []byte) (int, error) {
 	for written := 0; written < len(p); written += packetBytes {
 		packet := bytes.Clone(p[written:min(written+packetBytes, len(p))])
@@ -122,9 +139,10 @@
 	return len(p), nil
 }
 
+// Close ends the connection; what is still buffered is lost.
 func (c *pacedConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
-	return c.Conn.Close()
+	return errors.WithStack(c.Conn.Close())
 }
 
 // SetDeadline sets the deadline of reads; writes have none.
@@ -140,14 +158,14 @@
 	free           time.Time
 }
 
-func (u *uplink) send(size int) {
+// reserve returns the time until a packet of a size has been sent.
+func (u *uplink) reserve(size int) time.Duration {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	now := time.Now()
 	if u.free.Before(now) {
 		u.free = now
 	}
 	u.free = u.free.Add(time.Duration(size) * time.Second / time.Duration(u.bytesPerSecond))
-	wait := u.free.Sub(now)
-	u.mu.Unlock()
-	time.Sleep(wait)
+	return u.free.Sub(now)
 }
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -84,8 +84,8 @@
 	return f
 }
 
-// ReadNow cancels a long poll and reads at once, for a caller that has observed
-// that newer records exist.
+// ReadNow interrupts a wait for records and reads at once, for a caller that has
+// observed that newer records exist. It does not interrupt the transfer of records.
 func (f *Follower) ReadNow() {
 	select {
 	case f.readNow <- struct{}{}:
@@ -140,29 +140,28 @@
 // doesn't use long polling, since a read that the store held before may never
 // get a response.
 func (f *Follower) read(ctx context.Context) ([]Record, int64, error) {
-	wait := f.interval == 0 && !f.unavailable && !f.immediate
-	f.immediate = false
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watchDone := make(chan struct{})
+	if f.interval > 0 || f.unavailable || f.immediate {
+		f.immediate = false
+		return f.reader.Read(ctx, f.topic, f.next, nil) //nolint:wrapcheck // The adapter returns errors of this package.
+	}
+	interrupt, readDone, watchDone := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	defer func() { <-watchDone }()
-	readDone := make(chan struct{})
 	defer close(readDone)
 	go func() {
 		defer close(watchDone)
 		select {
 		case <-f.readNow:
 			f.immediate = true
-			cancel()
+			close(interrupt)
 		case <-readDone:
 		}
 	}()
-	return f.reader.Read(ctx, f.topic, f.next, wait) //nolint:wrapcheck // The adapter returns errors of this package.
+	return f.reader.Read(ctx, f.topic, f.next, interrupt) //nolint:wrapcheck // The adapter returns errors of this package.
 }
 
 // onFailure handles a failed call and returns the pause before the next one.
 func (f *Follower) onFailure(ctx context.Context, err error) time.Duration {
-	if ctx.Err() != nil || f.immediate {
+	if ctx.Err() != nil || jayerror.Is(err, KindInterrupted) {
 		return 0
 	}
 	if jayerror.Is(err, KindExpired) {
--- a/jay/jaystore/follower_test.go
+++ b/jay/jaystore/follower_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -31,8 +32,8 @@
 	return r.answer("newest")
 }
 
-func (r *reader) Read(_ context.Context, _ jaystore.Topic, _ int64, wait bool) ([]jaystore.Record, int64, error) {
-	if wait {
+func (r *reader) Read(_ context.Context, _ jaystore.Topic, _ int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+	if interrupt != nil {
 		return r.answer("wait")
 	}
 	return r.answer("read")
@@ -161,43 +162,75 @@
 	}
 }
 
-// blockingReader is a reader whose first read blocks until it is cancelled.
+// blockingReader is a reader whose first read blocks until it is interrupted or, if it is in a transfer, until
+// that has ended.
 type blockingReader struct {
 	started chan struct{}
-	reads   int
-	end     context.CancelFunc
+	// transferred is nil if the first read only waits for records.
+	transferred chan struct{}
+	reads       int
+	end         context.CancelFunc
 }
 
 func (*blockingReader) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
 	return nil, 0, nil
 }
 
-func (b *blockingReader) Read(ctx context.Context, _ jaystore.Topic, _ int64, wait bool) ([]jaystore.Record, int64, error) {
+func (b *blockingReader) Read(ctx context.Context, _ jaystore.Topic, _ int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
 	if b.reads++; b.reads == 1 {
 		close(b.started)
-		<-ctx.Done()
-		return nil, 0, jayerror.Wrap("read", jaystore.KindUnavailable, ctx.Err())
+		if b.transferred == nil {
+			<-interrupt
+			return nil, 0, jayerror.New("read", jaystore.KindInterrupted, "interrupted")
+		}
+		select {
+		case <-b.transferred:
+			return []jaystore.Record{{Key: "large"}}, 1, nil
+		case <-ctx.Done():
+			return nil, 0, jayerror.Wrap("read", jaystore.KindUnavailable, ctx.Err())
+		}
 	}
 	b.end()
-	if wait {
+	if interrupt != nil {
 		return nil, 0, jayerror.New("read", jaystore.KindFormat, "read after ReadNow uses long polling")
 	}
-	return []jaystore.Record{{Key: "news"}}, 1, nil
+	return []jaystore.Record{{Key: "news"}}, 2, nil
 }
 
 // Guards against a follower that stays in a long poll to which the store may never
-// respond: ReadNow must cancel it and read without long polling.
-func TestFollowerReadNowCancelsLongPoll(t *testing.T) {
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
-	b, c := &blockingReader{started: make(chan struct{}), end: cancel}, &consumer{}
-	follower := jaystore.NewFollower(b, jaystore.TopicPolicy, c, 0, slog.New(slog.DiscardHandler))
-	go func() {
-		<-b.started
-		follower.ReadNow()
-	}()
-	follower.Run(ctx)
-	if want := []string{"replace", "apply news"}; !slices.Equal(c.seen, want) {
-		t.Errorf("seen = %q, want %q", c.seen, want)
+// respond, and against one that gives up records in transfer: ReadNow must interrupt
+// only the wait, and read without long polling.
+func TestFollowerReadNowInterruptsWaitOnly(t *testing.T) {
+	tests := map[string]struct {
+		transfer bool
+		want     []string
+	}{
+		"long poll": {false, []string{"replace", "apply news"}},
+		"transfer":  {true, []string{"replace", "apply large", "apply news"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				b, c := &blockingReader{started: make(chan struct{}), end: cancel}, &consumer{}
+				if test.transfer {
+					b.transferred = make(chan struct{})
+				}
+				follower := jaystore.NewFollower(b, jaystore.TopicPolicy, c, 0, slog.New(slog.DiscardHandler))
+				go func() {
+					<-b.started
+					follower.ReadNow()
+					synctest.Wait()
+					if test.transfer {
+						close(b.transferred)
+					}
+				}()
+				follower.Run(ctx)
+				if !slices.Equal(c.seen, test.want) {
+					t.Errorf("seen = %q, want %q", c.seen, test.want)
+				}
+			})
+		})
 	}
 }
--- a/jay/jaystore/log.go
+++ b/jay/jaystore/log.go
@@ -27,6 +27,8 @@
 	KindExpired Kind = "expired"
 	// KindConflict means that the condition of a write did not hold.
 	KindConflict Kind = "conflict"
+	// KindInterrupted means that a read was interrupted while it waited for records.
+	KindInterrupted Kind = "interrupted"
 	// KindFormat means that the response could not be decoded.
 	KindFormat Kind = "format"
 )
@@ -48,10 +50,11 @@
 type Reader interface {
 	// Newest returns the newest record of each key and the offset at which to continue reading.
 	Newest(ctx context.Context, topic Topic) (records []Record, end int64, err error)
-	// Read returns the records from an offset on and the offset after them. If wait is set, it
-	// blocks until there is a record. If the store is unavailable, it may return, along with the
-	// error, records that another instance has read.
-	Read(ctx context.Context, topic Topic, from int64, wait bool) (records []Record, next int64, err error)
+	// Read returns the records from an offset on and the offset after them. It blocks until there
+	// is a record, unless interrupt is nil. Closing interrupt ends the wait with KindInterrupted,
+	// but not a transfer of records that has begun. If the store is unavailable, Read may return,
+	// along with the error, records that another instance has read.
+	Read(ctx context.Context, topic Topic, from int64, interrupt <-chan struct{}) (records []Record, next int64, err error)
 }
 
 // Writer writes records of keyed topics.
--- a/jay/jaystore/model_test.go
+++ b/jay/jaystore/model_test.go
@@ -66,7 +66,7 @@
 	return list, int64(len(m.records)), nil
 }
 
-func (m *model) Read(_ context.Context, _ jaystore.Topic, from int64, _ bool) ([]jaystore.Record, int64, error) {
+func (m *model) Read(_ context.Context, _ jaystore.Topic, from int64, _ <-chan struct{}) ([]jaystore.Record, int64, error) {
 	failed := m.fail()
 	end := int64(len(m.records))
 	if !failed && from < m.first {
