Pass large records on within the zone, two copies at a time

Callers of some zones got requests handled by a policy 4 s and more after a newer one was acknowledged. Cause: all instances of a zone fetched their own whole copy of a record from the watcher at once. On a link of 10 Mbit/s twelve copies of 570 KB need over 5 s, in which none is complete; after 2 s each was given up, with the connection that also carried heartbeats and the registry, and started again. Change: records from 8 KB are compressed with zstd, once for all receivers. An instance sends at most two large replies at a time and turns others away as busy; they ask any instance of the zone that has the records, and the store after 1.5 s. Each topic has a connection of its own. Instances of earlier releases get the replies that they know.

--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -105,7 +105,7 @@
 		r.log.Error("digest not encoded", "error", err)
 		return
 	}
-	client := r.client(address)
+	client := r.client(address, noTopic)
 	s.inFlight[address] = true
 	r.group.Go(func(ctx context.Context) {
 		reply, err := client.Ask(ctx, jaypeer.TopicRoster, body, jaypeer.SilentBound)
--- /dev/null
+++ b/jay/jayroster/mirrorserver.go
@@ -0,0 +1,192 @@
+package jayroster
+
+import (
+	"sync"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jaypeer"
+	"jayfield.example/jay/jaystore"
+)
+
+const (
+	// minCompressBytes is the size of records from which they are compressed.
+	minCompressBytes = 8 << 10
+	// compressionWindow bounds the memory of a compressor in bytes.
+	compressionWindow = 512 << 10
+)
+
+// mirrorRequest asks for the records of a topic from an offset on.
+type mirrorRequest struct {
+	Topic jaystore.Topic `msgpack:"t"`
+	From  int64          `msgpack:"f"`
+	// Receiver is the incarnation of the requesting instance; instances that set it accept
+	// compressed records and replies without records.
+	Receiver string `msgpack:"q,omitempty"`
+	// Received confirms the receipt of the latest records; the request asks for none.
+	Received bool `msgpack:"d,omitempty"`
+}
+
+// mirrorReply is the reply to a mirrorRequest.
+type mirrorReply struct {
+	Records []jaystore.Record `msgpack:"r"`
+	// Compressed holds the records if they are compressed.
+	Compressed []byte `msgpack:"z,omitempty"`
+	// Next is the offset after all that the instance has read, -1 before its first read or
+	// with Busy.
+	Next int64 `msgpack:"n"`
+	// Busy is set if the instance already sends as many large replies as it may.
+	Busy bool `msgpack:"b,omitempty"`
+}
+
+// mirrorServer serves the records of this instance's mirrors to other instances.
+type mirrorServer struct {
+	mirrors   *mirrors
+	transfers *transfers
+	codec     *codec
+	series    Series
+	mu        sync.Mutex
+	// latest holds the latest compressed records of each topic, since all instances of a
+	// zone request the same ones.
+	latest map[jaystore.Topic]compressedRecords
+}
+
+// compressedRecords are compressed records with the offsets of the first and last one and
+// their number, which identify them.
+type compressedRecords struct {
+	first, last int64
+	count       int
+	data        []byte
+}
+
+func newMirrorServer(m *mirrors, c *codec, series Series) *mirrorServer {
+	return &mirrorServer{mirrors: m, transfers: newTransfers(), codec: c, series: series, latest: make(map[jaystore.Topic]compressedRecords)}
+}
+
+// serve handles an encoded mirrorRequest and returns the encoded reply.
+func (s *mirrorServer) serve(body []byte) ([]byte, error) {
+	var req mirrorRequest
+	if err := msgpack.Unmarshal(body, &req); err != nil {
+		return nil, jayerror.Wrap("mirror", KindFormat, err)
+	}
+	if req.Received {
+		s.transfers.end(transfer{receiver: req.Receiver, topic: req.Topic})
+		return s.encode(mirrorReply{Next: req.From})
+	}
+	mirror, ok := s.mirrors.Load(req.Topic)
+	if !ok {
+		return nil, jayerror.Newf("mirror", KindFormat, "topic %q is not mirrored", req.Topic)
+	}
+	records, next := mirror.From(req.From)
+	data, err := s.reply(req, records, next)
+	if err != nil {
+		return nil, err
+	}
+	label := jaymetric.Label{Name: "topic", Value: string(req.Topic)}
+	s.series.Add("mirror_replies_total", 1, label)
+	s.series.Add("mirror_reply_bytes_total", len(data), label)
+	return data, nil
+}
+
+// reply returns an encoded reply with records, or without if the receiver has to wait for its transfer.
+func (s *mirrorServer) reply(req mirrorRequest, records []jaystore.Record, next int64) ([]byte, error) {
+	reply := mirrorReply{Records: records, Next: next}
+	if req.Receiver == "" {
+		return s.encode(reply)
+	}
+	if valueBytes(records) >= minCompressBytes {
+		data, err := s.compress(req.Topic, records)
+		if err != nil {
+			return nil, err
+		}
+		reply.Records, reply.Compressed = nil, data
+	}
+	if len(reply.Compressed) >= largeReplyBytes && !s.transfers.begin(time.Now(), transfer{receiver: req.Receiver, topic: req.Topic}) {
+		return s.encode(mirrorReply{Next: -1, Busy: true})
+	}
+	return s.encode(reply)
+}
+
+// compress returns records compressed, from the cache if they are the latest ones.
+func (s *mirrorServer) compress(topic jaystore.Topic, records []jaystore.Record) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := compressedRecords{first: records[0].Offset, last: records[len(records)-1].Offset, count: len(records)}
+	if latest := s.latest[topic]; latest.first == c.first && latest.last == c.last && latest.count == c.count {
+		return latest.data, nil
+	}
+	data, err := s.codec.compress(records)
+	if err != nil {
+		return nil, err
+	}
+	c.data = data
+	s.latest[topic] = c
+	return data, nil
+}
+
+func (*mirrorServer) encode(reply mirrorReply) ([]byte, error) {
+	data, err := msgpack.Marshal(reply)
+	if err != nil {
+		return nil, jayerror.Wrap("mirror", KindFormat, err)
+	}
+	return data, nil
+}
+
+func valueBytes(records []jaystore.Record) int {
+	size := 0
+	for _, r := range records {
+		size += len(r.Value)
+	}
+	return size
+}
+
+// codec compresses and decompresses records. It is safe for concurrent use.
+type codec struct {
+	encoder func() (*zstd.Encoder, error)
+	decoder func() (*zstd.Decoder, error)
+}
+
+// newCodec returns a codec that allocates its buffers on first use.
+func newCodec() *codec {
+	return &codec{
+		encoder: sync.OnceValues(func() (*zstd.Encoder, error) {
+			return zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+				zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(compressionWindow))
+		}),
+		decoder: sync.OnceValues(func() (*zstd.Decoder, error) {
+			return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(jaypeer.MaxFrame))
+		}),
+	}
+}
+
+func (c *codec) compress(records []jaystore.Record) ([]byte, error) {
+	data, err := msgpack.Marshal(records)
+	if err != nil {
+		return nil, jayerror.Wrap("compress", KindFormat, err)
+	}
+	encoder, err := c.encoder()
+	if err != nil {
+		return nil, jayerror.Wrap("compress", KindFormat, err)
+	}
+	return encoder.EncodeAll(data, nil), nil
+}
+
+func (c *codec) decompress(data []byte) ([]jaystore.Record, error) {
+	decoder, err := c.decoder()
+	if err != nil {
+		return nil, jayerror.Wrap("decompress", KindFormat, err)
+	}
+	content, err := decoder.DecodeAll(data, nil)
+	if err != nil {
+		return nil, jayerror.Wrap("decompress", KindFormat, err)
+	}
+	var records []jaystore.Record
+	if err := msgpack.Unmarshal(content, &records); err != nil {
+		return nil, jayerror.Wrap("decompress", KindFormat, err)
+	}
+	return records, nil
+}
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -71,10 +71,12 @@
 	changed func(members []jaymember.Status)
 	started time.Time
 
-	mirrors   mirrors
-	clients   sync.Map
-	isWatcher atomic.Bool
-	watcher   atomic.Pointer[jaymember.Status]
+	mirrors      *mirrors
+	mirrorServer *mirrorServer
+	codec        *codec
+	clients      sync.Map
+	isWatcher    atomic.Bool
+	watcher      atomic.Pointer[jaymember.Status]
 	// others holds all other instances as of the last tick.
 	others atomic.Pointer[[]jaymember.Status]
 }
@@ -151,8 +153,9 @@
 func Start(options Options) *Roster {
 	r := &Roster{
 		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, options: options.Client, log: options.Log, series: options.Series, changed: options.Changed,
-		group: jaytask.NewGroup(), started: time.Now(),
+		group: jaytask.NewGroup(), started: time.Now(), mirrors: new(mirrors), codec: newCodec(),
 	}
+	r.mirrorServer = newMirrorServer(r.mirrors, r.codec, r.series)
 	r.others.Store(&[]jaymember.Status{})
 	s := &state{
 		view: jaymember.NewView(options.Self), listed: make(map[string]jaylist.Instance),
@@ -169,22 +172,33 @@
 	return r.owner.Done()
 }
 
-// client returns the client of the instance at an address and creates it on first use.
-func (r *Roster) client(address string) *jaypeer.Client {
-	if cached, ok := r.clients.Load(address); ok {
+// connection identifies a connection to another instance: its address and the topic whose
+// records it carries, or noTopic.
+type connection struct {
+	address string
+	topic   jaystore.Topic
+}
+
+// noTopic is the topic of the connections that carry heartbeats.
+const noTopic jaystore.Topic = ""
+
+// client returns the client of a connection and creates it on first use.
+func (r *Roster) client(address string, topic jaystore.Topic) *jaypeer.Client {
+	key := connection{address: address, topic: topic}
+	if cached, ok := r.clients.Load(key); ok {
 		if client, ok := cached.(*jaypeer.Client); ok {
 			return client
 		}
 	}
 	client := jaypeer.NewClient(address, r.key, r.options...)
-	r.clients.Store(address, client)
+	r.clients.Store(key, client)
 	return client
 }
 
 // HandlePeer handles a digest exchange or a mirrorRequest.
 func (r *Roster) HandlePeer(ctx context.Context, topic jaypeer.Topic, body []byte) ([]byte, error) {
 	if topic == jaypeer.TopicMirror {
-		return r.serveMirror(body)
+		return r.mirrorServer.serve(body)
 	}
 	var received digest
 	if err := msgpack.Unmarshal(body, &received); err != nil {
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -9,7 +9,6 @@
 
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaymember"
-	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaypeer"
 	"jayfield.example/jay/jaystore"
 )
@@ -20,6 +19,9 @@
 	// startupGrace is how long an instance that has just started and has no other member in its view
 	// waits before it becomes the watcher of its zone.
 	startupGrace = 1500 * time.Millisecond
+	// maxBusyWait is how long an instance waits while all instances that have the records it needs
+	// are busy with other transfers, before it reads the store itself.
+	maxBusyWait = 1500 * time.Millisecond
 )
 
 // TopicReader reads a topic of the store through the watcher of the zone: the one
@@ -40,19 +42,6 @@
 	lastRead    time.Time
 }
 
-// mirrorReply is the reply to a mirrorRequest.
-type mirrorReply struct {
-	Records []jaystore.Record `msgpack:"r"`
-	// Next is the offset after all that the instance has read, -1 before its first read.
-	Next int64 `msgpack:"n"`
-}
-
-// mirrorRequest asks for the records of a topic from an offset on.
-type mirrorRequest struct {
-	Topic jaystore.Topic `msgpack:"t"`
-	From  int64          `msgpack:"f"`
-}
-
 // TopicReader returns the reader of a topic and serves the topic's mirror to other instances.
 // The store is read at most once each minInterval, or by long polling if that is 0.
 func (r *Roster) TopicReader(store jaystore.Reader, topic jaystore.Topic, mirror *jaystore.Mirror, maxAge, minInterval time.Duration) *TopicReader {
@@ -63,7 +52,7 @@
 // Newest returns the newest record of each key.
 func (t *TopicReader) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
 	if watcher, _, _, ok := t.roster.watcherPosition(t.topic, t.maxAge); ok {
-		if list, next, ok := t.fetch(ctx, watcher, -1); ok {
+		if list, next, result := t.fetch(ctx, watcher, -1); result == resultFetched {
 			return list, next, nil
 		}
 	}
@@ -78,10 +67,10 @@
 	return nil, 0, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
 
-// Read returns records from an offset on, from the watcher as soon as it has
-// some, or from the store.
+// Read returns records from an offset on, from another instance of the zone as soon as one
+// has some, or from the store.
 func (t *TopicReader) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
-	if list, next, ok := t.readWatcher(ctx, from, interrupt); ok {
+	if list, next, ok := t.readZone(ctx, from, interrupt); ok {
 		return list, next, nil
 	}
 	if t.minInterval > 0 {
@@ -102,9 +91,11 @@
 	return list, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
 
-// readWatcher returns records from the watcher; it waits until there are some, unless
-// interrupt is nil. It reports false if the store is to be read.
-func (t *TopicReader) readWatcher(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, bool) {
+// readZone returns records from the watcher of the zone or from an instance that has read as
+// much; it waits until there are some, unless interrupt is nil. It reports false if the store
+// is to be read.
+func (t *TopicReader) readZone(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, bool) {
+	var busySince time.Time
 	for ctx.Err() == nil {
 		watcher, next, at, ok := t.roster.watcherPosition(t.topic, t.maxAge)
 		switch {
@@ -113,11 +104,19 @@
 		case !ok:
 			// The newest records have just been read, and the first heartbeats will identify the watcher.
 		case next > from:
-			list, next, ok := t.fetch(ctx, watcher, from)
-			if ok {
+			list, next, result := t.fetch(ctx, t.roster.supplier(watcher, t.topic, next), from)
+			if result == resultFetched {
 				t.mirror.MarkRead(at, next)
 			}
-			return list, next, ok
+			if result != resultBusy {
+				return list, next, result == resultFetched
+			}
+			if busySince.IsZero() {
+				busySince = time.Now()
+			}
+			if time.Since(busySince) > maxBusyWait {
+				return nil, 0, false
+			}
 		case interrupt == nil:
 			t.mirror.MarkRead(at, from)
 			// A read without waiting of a long-polled topic was triggered by a record that the
@@ -126,9 +125,14 @@
 		default:
 			t.mirror.MarkRead(at, from)
 		}
+		wake := interrupt
+		if !busySince.IsZero() {
+			// The records that the interrupting caller waits for are about to be transferred.
+			wake = nil
+		}
 		select {
 		case <-time.After(watcherPollInterval):
-		case <-interrupt:
+		case <-wake:
 			return nil, 0, false
 		case <-ctx.Done():
 		}
@@ -136,24 +140,63 @@
 	return nil, 0, false
 }
 
-// fetch requests records from the instance at an address. It reports false if the request
-// fails or the instance has read less than from.
-func (t *TopicReader) fetch(ctx context.Context, address string, from int64) ([]jaystore.Record, int64, bool) {
+// fetchResult is the result of a request for another instance's records.
+type fetchResult string
+
+const (
+	resultFetched fetchResult = "fetched"
+	// resultBusy means that the other instance has too many transfers in progress.
+	resultBusy fetchResult = "busy"
+	// resultFailed means that the request failed or that the instance has read less than asked for.
+	resultFailed fetchResult = "failed"
+)
+
+// fetch requests records from the instance at an address.
+func (t *TopicReader) fetch(ctx context.Context, address string, from int64) ([]jaystore.Record, int64, fetchResult) {
 	start := time.Now()
-	body, err := msgpack.Marshal(mirrorRequest{Topic: t.topic, From: from})
-	if err == nil {
-		body, err = t.roster.client(address).Ask(ctx, jaypeer.TopicMirror, body, jaypeer.SilentBound)
+	request := mirrorRequest{Topic: t.topic, From: from, Receiver: t.roster.self.Incarnation}
+	reply, err := t.ask(ctx, address, request)
+	if err == nil && reply.Busy {
+		return nil, 0, resultBusy
 	}
-	var reply mirrorReply
-	if err == nil {
-		err = msgpack.Unmarshal(body, &reply)
+	if err == nil && reply.Compressed != nil {
+		reply.Records, err = t.roster.codec.decompress(reply.Compressed)
+		t.confirm(address, reply.Next)
 	}
 	if err != nil || reply.Next < from {
 		t.roster.log.Info("watcher or other instance did not supply records", "topic", t.topic, "address", address, "next", reply.Next,
 			"took", time.Since(start), "error", err)
-		return nil, 0, false
+		return nil, 0, resultFailed
+	}
+	return reply.Records, reply.Next, resultFetched
+}
+
+// ask sends a request to the instance at an address, over a connection that is used only for
+// the topic: a large reply delays no heartbeats and no records of other topics.
+func (t *TopicReader) ask(ctx context.Context, address string, request mirrorRequest) (mirrorReply, error) {
+	var reply mirrorReply
+	body, err := msgpack.Marshal(request)
+	if err != nil {
+		return reply, jayerror.Wrap("fetch", KindFormat, err)
+	}
+	body, err = t.roster.client(address, t.topic).Ask(ctx, jaypeer.TopicMirror, body, jaypeer.SilentBound)
+	if err != nil {
+		return reply, err //nolint:wrapcheck // The log line names the operation.
 	}
-	return reply.Records, reply.Next, true
+	if err := msgpack.Unmarshal(body, &reply); err != nil {
+		return reply, jayerror.Wrap("fetch", KindFormat, err)
+	}
+	return reply, nil
+}
+
+// confirm reports to the instance at an address that its transfer has ended.
+func (t *TopicReader) confirm(address string, next int64) {
+	t.roster.group.Go(func(ctx context.Context) {
+		request := mirrorRequest{Topic: t.topic, From: next, Receiver: t.roster.self.Incarnation, Received: true}
+		if _, err := t.ask(ctx, address, request); err != nil {
+			t.roster.log.Debug("transfer not confirmed", "topic", t.topic, "address", address, "error", err)
+		}
+	})
 }
 
 // fetchFallback requests records from another instance while the store does not answer
@@ -164,8 +207,8 @@
 	if !ok || ctx.Err() != nil {
 		return nil, 0, false
 	}
-	list, next, ok := t.fetch(ctx, fallback.Peer, from)
-	if !ok || next <= from {
+	list, next, result := t.fetch(ctx, fallback.Peer, from)
+	if result != resultFetched || next <= from {
 		return nil, 0, false
 	}
 	t.roster.log.Info("records fetched from another instance", "topic", t.topic, "instance", fallback.Name, "from", from, "next", next, "records", len(list))
@@ -173,27 +216,6 @@
 	return list, next, true
 }
 
-// serveMirror handles a mirrorRequest.
-func (r *Roster) serveMirror(body []byte) ([]byte, error) {
-	var req mirrorRequest
-	if err := msgpack.Unmarshal(body, &req); err != nil {
-		return nil, jayerror.Wrap("mirror", KindFormat, err)
-	}
-	mirror, ok := r.mirrors.Load(req.Topic)
-	if !ok {
-		return nil, jayerror.Newf("mirror", KindFormat, "topic %q is not mirrored", req.Topic)
-	}
-	list, next := mirror.From(req.From)
-	reply, err := msgpack.Marshal(mirrorReply{Records: list, Next: next})
-	if err != nil {
-		return nil, jayerror.Wrap("mirror", KindFormat, err)
-	}
-	label := jaymetric.Label{Name: "topic", Value: string(req.Topic)}
-	r.series.Add("mirror_replies_total", 1, label)
-	r.series.Add("mirror_reply_bytes_total", len(reply), label)
-	return reply, nil
-}
-
 // starting reports whether the instance is within startupGrace and not the watcher.
 func (r *Roster) starting() bool {
 	return time.Since(r.started) < startupGrace && !r.isWatcher.Load()
@@ -215,6 +237,18 @@
 	return watcher.Peer, mirror.Next, at, true
 }
 
+// supplier returns the address of an instance of the zone that has read a topic at least up to
+// an offset: a random one of those that report so, and of the watcher.
+func (r *Roster) supplier(watcher string, topic jaystore.Topic, next int64) string {
+	addresses := []string{watcher}
+	for _, m := range *r.others.Load() {
+		if m.Zone == r.self.Zone && m.Peer != watcher && !m.Silent && !m.Leaving && m.Mirrors[string(topic)].Next >= next {
+			addresses = append(addresses, m.Peer)
+		}
+	}
+	return addresses[rand.IntN(len(addresses))] //nolint:gosec // Load spreading needs no cryptographic randomness.
+}
+
 // fallback returns an instance that is likely to have read the store recently: a random
 // one of those with the newest configuration, in the same region if there is one.
 func (r *Roster) fallback() (jaymember.Status, bool) {
--- /dev/null
+++ b/jay/jayroster/transfer.go
@@ -0,0 +1,58 @@
+package jayroster
+
+import (
+	"sync"
+	"time"
+
+	"jayfield.example/jay/jaystore"
+)
+
+const (
+	// largeReplyBytes is the size from which a reply with records counts as a transfer.
+	largeReplyBytes = 32 << 10
+	// maxTransfers is the number of transfers that an instance sends at a time, so that on a
+	// slow link the first instances have their copy early and pass it on.
+	maxTransfers = 2
+	// transferTimeout ends a transfer whose receiver does not confirm it.
+	transferTimeout = 3 * time.Second
+)
+
+// transfer identifies the receiver and the topic of records.
+type transfer struct {
+	receiver string
+	topic    jaystore.Topic
+}
+
+// transfers limits the transfers that an instance sends at a time. It is safe for concurrent use.
+type transfers struct {
+	mu sync.Mutex
+	// until holds the time at which each transfer times out.
+	until map[transfer]time.Time
+}
+
+func newTransfers() *transfers {
+	return &transfers{until: make(map[transfer]time.Time)}
+}
+
+// begin reports whether a transfer may start now. It may if it has started before and not ended.
+func (t *transfers) begin(now time.Time, started transfer) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for other, until := range t.until {
+		if !now.Before(until) {
+			delete(t.until, other)
+		}
+	}
+	if _, ok := t.until[started]; !ok && len(t.until) >= maxTransfers {
+		return false
+	}
+	t.until[started] = now.Add(transferTimeout)
+	return true
+}
+
+// end ends a transfer.
+func (t *transfers) end(received transfer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.until, received)
+}
--- /dev/null
+++ b/jay/jayroster/transfer_test.go
@@ -0,0 +1,88 @@
+package jayroster
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jaystore"
+)
+
+// Guards against more transfers at a time than an instance may send, and against transfers that block others for good.
+func TestTransfersAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limiter, now := newTransfers(), time.Unix(0, 0)
+		started := make(map[transfer]time.Time)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			x := transfer{receiver: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "receiver"), topic: jaystore.TopicPolicy}
+			if rapid.Bool().Draw(t, "end") {
+				limiter.end(x)
+				delete(started, x)
+				continue
+			}
+			running := 0
+			for other, at := range started {
+				if other != x && now.Sub(at) < transferTimeout {
+					running++
+				}
+			}
+			ok := limiter.begin(now, x)
+			if again, was := started[x]; ok != (running < maxTransfers) && !(was && now.Sub(again) < transferTimeout) {
+				t.Fatalf("begin = %v with %d transfers running", ok, running)
+			}
+			if ok {
+				started[x] = now
+			}
+		}
+	})
+}
+
+// Guards against instances of an earlier release that get a reply which they cannot read.
+func TestMirrorServerAnswersEarlierReleases(t *testing.T) {
+	m := new(mirrors)
+	mirror := jaystore.NewMirror(discardConsumer{})
+	mirror.Apply(t.Context(), []jaystore.Record{{Key: "k", Value: make([]byte, 4*largeReplyBytes)}})
+	mirror.MarkRead(time.Now(), 1)
+	m.Store(jaystore.TopicPolicy, mirror)
+	s := newMirrorServer(m, newCodec(), discardSeries{})
+	for range maxTransfers + 1 {
+		data, err := s.serve(encodeRequest(t, mirrorRequest{Topic: jaystore.TopicPolicy}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if reply := decodeReply(t, data); len(reply.Records) != 1 || reply.Compressed != nil || reply.Next != 1 {
+			t.Fatalf("reply = %d records, %d compressed bytes, next %d", len(reply.Records), len(reply.Compressed), reply.Next)
+		}
+	}
+}
+
+type discardConsumer struct{ jaystore.Consumer }
+
+func (discardConsumer) Apply(context.Context, []jaystore.Record) {}
+
+type discardSeries struct{}
+
+func (discardSeries) Add(string, int, ...jaymetric.Label) {}
+
+func encodeRequest(t *testing.T, request mirrorRequest) []byte {
+	t.Helper()
+	data, err := msgpack.Marshal(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func decodeReply(t *testing.T, data []byte) mirrorReply {
+	t.Helper()
+	var reply mirrorReply
+	if err := msgpack.Unmarshal(data, &reply); err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
