Count a reply that is still arriving as progress, not as silence

Cause: a request between instances ended its connection 2 s after it was sent, however much of its reply had arrived. A large reply over a slow link could never be read: each try started from the first byte. Change: while a part of a frame has arrived, the bound runs anew with each part. A stalled transfer still ends. Result: TestReplyInTransferIsNotSilence (slow link) failed before ("no reply within 2s, in which 397312 bytes arrived") and passes; tests of jayroster pass.

--- a/jay/jaypeer/client.go
+++ b/jay/jaypeer/client.go
@@ -13,8 +13,9 @@
 
 const (
 	dialBound = 2 * time.Second
-	// SilentBound is how long a request may wait for its reply before the
-	// connection counts as silent; calls that run work have a bound of their own.
+	// SilentBound is how long a request may wait for its reply before the connection
+	// counts as silent, or for a further part of a reply that has begun to arrive; calls
+	// that run work have a bound of their own.
 	SilentBound = 2 * time.Second
 	// maxPending bounds the requests that wait for a reply on one connection.
 	maxPending = 256
@@ -97,6 +98,8 @@
 	mu     sync.Mutex
 	next   uint64
 	waits  map[uint64]chan Envelope
+	// receiving is set while a part of a frame has arrived.
+	receiving atomic.Bool
 }
 
 func newLink(conn net.Conn) *link {
@@ -144,32 +147,50 @@
 	default:
 		return nil, jayerror.New("ask", KindBusy, "queue to the instance is full")
 	}
-	before := l.conn.received.Load()
+	return l.await(ctx, wait, bound)
+}
+
+// await returns the body of a reply, or an error if the connection is silent for bound.
+func (l *link) await(ctx context.Context, wait <-chan Envelope, bound time.Duration) ([]byte, error) {
+	received := l.conn.received.Load()
 	timer := time.NewTimer(bound)
 	defer timer.Stop()
-	select {
-	case reply := <-wait:
-		if reply.Refused != "" {
-			return nil, jayerror.New("ask", KindRefused, reply.Refused)
+	for {
+		select {
+		case reply := <-wait:
+			if reply.Refused != "" {
+				return nil, jayerror.New("ask", KindRefused, reply.Refused)
+			}
+			return reply.Body, nil
+		case <-timer.C:
+			before := received
+			if received = l.conn.received.Load(); received > before && l.receiving.Load() {
+				timer.Reset(bound)
+				continue
+			}
+			go l.group.Stop()
+			return nil, jayerror.Newf("ask", KindSilent, "no reply within %s, in which %d bytes arrived", bound, received-before)
+		case <-ctx.Done():
+			return nil, jayerror.Wrap("ask", KindSilent, ctx.Err())
+		case <-l.group.Context().Done():
+			return nil, jayerror.New("ask", KindSilent, "connection ended before the reply")
 		}
-		return reply.Body, nil
-	case <-timer.C:
-		go l.group.Stop()
-		return nil, jayerror.Newf("ask", KindSilent, "no reply within %s, in which %d bytes arrived", bound, l.conn.received.Load()-before)
-	case <-ctx.Done():
-		return nil, jayerror.Wrap("ask", KindSilent, ctx.Err())
-	case <-l.group.Context().Done():
-		return nil, jayerror.New("ask", KindSilent, "connection ended before the reply")
 	}
 }
 
 func (l *link) read(context.Context) {
 	defer func() { go l.group.Stop() }()
 	for {
+		length, err := readLength(l.conn, MaxFrame)
+		if err != nil {
+			return
+		}
 		var reply Envelope
-		if err := readFrame(l.conn, MaxFrame, &reply); err != nil {
+		l.receiving.Store(true)
+		if err := readContent(l.conn, length, &reply); err != nil {
 			return
 		}
+		l.receiving.Store(false)
 		l.mu.Lock()
 		wait, ok := l.waits[reply.Number]
 		delete(l.waits, reply.Number)
--- a/jay/jaypeer/frame.go
+++ b/jay/jaypeer/frame.go
@@ -63,14 +63,28 @@
 }
 
 func readFrame(conn net.Conn, limit int, value any) error {
+	length, err := readLength(conn, limit)
+	if err != nil {
+		return err
+	}
+	return readContent(conn, length, value)
+}
+
+// readLength reads the length of a frame and checks that it is within a limit.
+func readLength(conn net.Conn, limit int) (uint32, error) {
 	var header [lengthSize]byte
 	if _, err := io.ReadFull(conn, header[:]); err != nil {
-		return jayerror.Wrap("read", KindFrame, err)
+		return 0, jayerror.Wrap("read", KindFrame, err)
 	}
 	length := binary.BigEndian.Uint32(header[:])
 	if length == 0 || length > uint32(limit) { //nolint:gosec // Limits are small constants.
-		return jayerror.Newf("read", KindFrame, "length %d is not within 1 to %d", length, limit)
+		return 0, jayerror.Newf("read", KindFrame, "length %d is not within 1 to %d", length, limit)
 	}
+	return length, nil
+}
+
+// readContent reads and decodes the content of a frame.
+func readContent(conn net.Conn, length uint32, value any) error {
 	data := make([]byte, length)
 	if _, err := io.ReadFull(conn, data); err != nil {
 		return jayerror.Wrap("read", KindFrame, err)
--- a/jay/jaypeer/peer_test.go
+++ b/jay/jaypeer/peer_test.go
@@ -10,10 +10,12 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaypeer"
+	"jayfield.example/jay/jaystandin"
 )
 
 // echo answers with the body, or never for the topic "mute".
@@ -144,3 +146,31 @@
 		})
 	}
 }
+
+// Guards against a long reply that counts as silence while it is still arriving.
+func TestReplyInTransferIsNotSilence(t *testing.T) {
+	tests := map[string]struct {
+		bytesPerSecond int
+		wantErr        bool
+	}{
+		"slow link": {200_000, false},
+		"stalled":   {100, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := jaystandin.NewNetwork()
+				listener := network.Host("10.0.0.1:7000", test.bytesPerSecond).Listen()
+				server := jaypeer.NewServer(listener, []byte("key"), echo{}, slog.New(slog.DiscardHandler))
+				defer server.Stop()
+				client := jaypeer.NewClient("10.0.0.1:7000", []byte("key"), jaypeer.WithDialer(network.Host("10.0.0.2:7000", 1<<30)))
+				defer client.Close()
+				body := make([]byte, 1_000_000)
+				reply, err := client.Ask(t.Context(), "echo", body, jaypeer.SilentBound)
+				if (err != nil) != test.wantErr || err == nil && len(reply) != len(body) {
+					t.Errorf("reply of %d bytes, error %v", len(reply), err)
+				}
+			})
+		})
+	}
+}
