--- a/jay/jayrelay/answer.go
+++ b/jay/jayrelay/answer.go
@@ -60,7 +60,16 @@
 func (x *exchange) logFailure(err error) {
 	x.log.With(x.placementFields()...).Info("request not served",
 		"request", x.call.ID, "route", x.route.Name, "service", x.service, "policy", x.version,
-		"upstreams", x.tried, "runs", x.runs, "sends", x.sends, "took", time.Since(x.began), "left", x.timeLeft(), "error", err)
+		"upstreams", x.tried, "runs", x.runs, "sends", x.sends, "took", time.Since(x.began), "left", x.timeLeft(),
+		"parts", x.promptParts(), "error", err)
+}
+
+// promptParts returns the prompt parts that the request shares with others.
+func (x *exchange) promptParts() []string {
+	if x.call.Prompt == nil {
+		return nil
+	}
+	return x.call.Prompt.Parts
 }
 
 // placementFields returns the log fields for the latest attempt: its upstream and
--- a/jay/jayrelay/dialect.go
+++ b/jay/jayrelay/dialect.go
@@ -43,6 +43,8 @@
 	// Prefix identifies the longest prefix of the prompt that it shares with other
 	// requests, empty if there is none.
 	Prefix string
+	// Parts identify the parts of that prefix in order.
+	Parts []string
 	// PrefixTokens, OwnTokens and OutputTokens are the sizes of the shared prefix, of the
 	// rest of the prompt, and of the longest possible output.
 	PrefixTokens, OwnTokens, OutputTokens int
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -157,5 +157,6 @@
 // logRetry logs a request that is retried.
 func (x *exchange) logRetry(f *failure) {
 	x.log.Info("request sent again", "request", x.call.ID, "route", x.route.Name, "service", x.service,
-		"upstreams", x.tried, "ran", f.ran, "outcome", f.outcome, "sends", x.sends, "left", time.Until(x.deadline), "error", f.cause)
+		"upstreams", x.tried, "ran", f.ran, "outcome", f.outcome, "sends", x.sends, "left", time.Until(x.deadline),
+		"parts", x.promptParts(), "error", f.cause)
 }
