Keep requests with a prompt part that crashes engines away from engines

Requests of one kind kept crashing engines one after the other; callers of all kinds lost their answers. Cause: a query of death. Failures were counted for each engine, not related to the prompt part that the crashes had in common, and both new requests and retries carried the part on to the next engine. Change: jayquarantine. Instances report the shared parts of requests that a crash cut off, and answers since. A part with three crashes apart in time and no answer, while others are answered, is refused as not run with the time to come back; the deepest such part first, and a part that another one explains is released. After 30 s, doubled each time, one instance lets a single request pass.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -238,15 +238,16 @@
 // membersChanged processes a changed status of the other instances.
 func (e *Edge) membersChanged(members []jaymember.Status) {
 	e.members.Store(&members)
-	active := 1
+	active, lowest := 1, true
 	for _, m := range members {
 		if !m.Silent || m.Listed {
 			active++
 		}
+		lowest = lowest && (!m.Usable() || e.self.Incarnation < m.Incarnation)
 	}
 	e.budgets.setMembers(active)
 	e.checkPolicyLag(members)
-	e.placer.updateMembers(members)
+	e.placer.updateMembers(members, lowest)
 }
 
 // checkPolicyLag reads the policy from the store if another instance has had a newer
--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -8,6 +8,7 @@
 	"jayfield.example/jay/jayfleet"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jayplace"
+	"jayfield.example/jay/jayquarantine"
 	"jayfield.example/jay/jayroster"
 	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jaytask"
@@ -17,7 +18,8 @@
 // missing after the removal grace period.
 const fleetTickInterval = 100 * time.Millisecond
 
-// placer is the task that owns the fleet of upstreams and the placement table.
+// placer is the task that owns the fleet of upstreams, the placement table and the prompt
+// parts in quarantine.
 type placer struct {
 	adapter Adapter
 	owner   *jaytask.Owner[placerState]
@@ -26,24 +28,37 @@
 
 // placerState is the state that the task owns.
 type placerState struct {
-	fleet *jayfleet.Fleet
-	table *jayplace.Table
+	fleet      *jayfleet.Fleet
+	table      *jayplace.Table
+	quarantine *jayquarantine.Table
 	// configuredChanges is the number of fleet changes at the last configuration of the table.
 	configuredChanges uint64
 }
 
 func newPlacer(adapter Adapter, location jayplace.Location, regions map[string]string, log *slog.Logger) *placer {
 	p := &placer{adapter: adapter, log: log}
-	s := &placerState{fleet: jayfleet.New(), table: jayplace.NewTable(location, regions)}
+	s := &placerState{fleet: jayfleet.New(), table: jayplace.NewTable(location, regions), quarantine: jayquarantine.NewTable()}
 	p.owner = jaytask.NewOwner(s, fleetTickInterval, func(s *placerState, now time.Time) {
 		for _, id := range s.fleet.Tick(now) {
 			p.log.Info("upstream removed", "upstream", id, "reason", "entry still missing after the grace period that follows a store outage")
 		}
 		p.configure(s)
+		p.logQuarantine(s.quarantine.Tick(now))
 	})
 	return p
 }
 
+// logQuarantine logs the prompt parts whose quarantine has begun or ended.
+func (p *placer) logQuarantine(changes []jayquarantine.Change) {
+	for _, c := range changes {
+		if c.Until.IsZero() {
+			p.log.Info("prompt part released from quarantine", "part", c.Part, "key", c.Key)
+			continue
+		}
+		p.log.Warn("prompt part in quarantine", "part", c.Part, "key", c.Key, "crashes", c.Crashes, "until", c.Until)
+	}
+}
+
 // Apply processes changes of the registry.
 func (p *placer) Apply(ctx context.Context, records []jaystore.Record) {
 	p.send(ctx, func(s *placerState) {
@@ -58,7 +73,12 @@
 func (p *placer) Choose(ctx context.Context, w jayplace.Work) (jayplace.Choice, error) {
 	var choice jayplace.Choice
 	var failed error
-	err := p.owner.Call(ctx, func(s *placerState) { choice, failed = s.table.Choose(time.Now(), w) })
+	err := p.owner.Call(ctx, func(s *placerState) {
+		now := time.Now()
+		if failed = s.quarantine.Check(now, quarantineRequest(w)); failed == nil {
+			choice, failed = s.table.Choose(now, w)
+		}
+	})
 	if err != nil {
 		return choice, err //nolint:wrapcheck // The task has stopped or the caller has disconnected.
 	}
@@ -74,6 +94,21 @@
 	})
 }
 
+// EndAnswer records that an upstream completed an answer to a prompt or cut it off.
+func (p *placer) EndAnswer(w jayplace.Work, id string, outcome jayplace.Outcome) {
+	p.send(context.Background(), func(s *placerState) {
+		if outcome == jayplace.OutcomeServed {
+			s.quarantine.RecordServed(time.Now(), quarantineRequest(w))
+			return
+		}
+		s.quarantine.RecordCrash(time.Now(), quarantineRequest(w), jayplace.UpstreamHash(id))
+	})
+}
+
+func quarantineRequest(w jayplace.Work) jayquarantine.Request {
+	return jayquarantine.Request{ID: w.ID, Service: w.Service, Parts: w.Parts}
+}
+
 // RecordLoad records the load that an upstream reported.
 func (p *placer) RecordLoad(id string, load jayplace.Load) {
 	p.send(context.Background(), func(s *placerState) { s.table.RecordLoad(time.Now(), id, load) })
@@ -83,7 +118,12 @@
 func (p *placer) DecodeUpstream(ctx context.Context, w jayplace.Work, prefillUpstream jayfleet.Upstream) (jayfleet.Upstream, error) {
 	var decodeUpstream jayfleet.Upstream
 	var failed error
-	err := p.owner.Call(ctx, func(s *placerState) { decodeUpstream, failed = s.table.DecodeUpstream(time.Now(), w, prefillUpstream) })
+	err := p.owner.Call(ctx, func(s *placerState) {
+		now := time.Now()
+		if failed = s.quarantine.Check(now, quarantineRequest(w)); failed == nil {
+			decodeUpstream, failed = s.table.DecodeUpstream(now, w, prefillUpstream)
+		}
+	})
 	if err != nil {
 		return decodeUpstream, err //nolint:wrapcheck // The task has stopped or the caller has disconnected.
 	}
@@ -169,8 +209,9 @@
 	s.table.Configure(s.fleet.Available())
 }
 
-// updateMembers processes the work, cached prefixes and send tallies that the other instances report.
-func (p *placer) updateMembers(members []jaymember.Status) {
+// updateMembers processes the work, cached prefixes, send tallies and suspected prompt parts that the
+// other instances report. If trials is set, this instance tries parts after their quarantine.
+func (p *placer) updateMembers(members []jaymember.Status, trials bool) {
 	now := time.Now()
 	work, prefixes, tallies := jayroster.Work(now, members), jayroster.CachedPrefixes(members), jayroster.Tallies(now, members)
 	p.send(context.Background(), func(s *placerState) {
@@ -179,14 +220,21 @@
 		for _, id := range s.table.MergeTallies(now, tallies) {
 			p.log.Info("upstream ejected", "upstream", id, "reason", "most requests of all instances to it fail")
 		}
+		s.quarantine.SetTrials(trials)
+		for _, m := range members {
+			if !m.Silent {
+				s.quarantine.Merge(now, m.ReceivedAt, m.Suspects)
+			}
+		}
 	})
 }
 
-// fillWork fills in this instance's own work, cached prefixes and send tallies.
+// fillWork fills in this instance's own work, cached prefixes, send tallies and suspected prompt parts.
 func (p *placer) fillWork(ctx context.Context, member *jaymember.Member) {
 	err := p.owner.Call(ctx, func(s *placerState) {
 		now := time.Now()
 		member.Work, member.CachedPrefixes, member.Tallies = s.table.OwnWork(), s.table.AnnouncedPrefixes(now), s.table.Tallies(now)
+		member.Suspects = s.quarantine.Reports(now)
 	})
 	if err != nil {
 		p.log.Warn("own work missing from heartbeat", "error", err)
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -30,6 +30,8 @@
 	// Tallies count the outcomes of recent sends to upstreams to which any instance failed to
 	// send, if reported.
 	Tallies []Tally `msgpack:"t,omitempty" json:"tallies,omitempty"`
+	// Suspects are the prompt parts that may have crashed engines, if any.
+	Suspects []Suspect `msgpack:"x,omitempty" json:"suspects,omitempty"`
 	// Mirrors hold how far the instance has read the topics of the store, if reported.
 	Mirrors map[string]Mirror `msgpack:"m,omitempty" json:"mirrors,omitempty"`
 	// Sequence grows with each heartbeat of one incarnation.
@@ -78,6 +80,31 @@
 	Failed   int    `msgpack:"f"`
 }
 
+// Suspect is a prompt part with a request in progress while an engine crashed. Times are
+// relative to when the heartbeat was sent.
+type Suspect struct {
+	Key uint64 `msgpack:"k" json:"key"`
+	// Service is the hash of the service.
+	Service uint32 `msgpack:"v" json:"service"`
+	// Depth is the position of the part in the prompt.
+	Depth   int     `msgpack:"d,omitempty" json:"depth"`
+	Crashes []Crash `msgpack:"c,omitempty" json:"crashes,omitempty"`
+	// Served is set if an answer to a request with the part completed recently, ServedAge ago.
+	Served    bool          `msgpack:"s,omitempty" json:"served"`
+	ServedAge time.Duration `msgpack:"a,omitempty" json:"servedAge"`
+	// Quarantined is set if requests with the part are rejected, since QuarantinedFor. Remaining
+	// is the time until the earliest trial.
+	Quarantined    bool          `msgpack:"q,omitempty" json:"quarantined"`
+	QuarantinedFor time.Duration `msgpack:"f,omitempty" json:"quarantinedFor"`
+	Remaining      time.Duration `msgpack:"r,omitempty" json:"remaining"`
+}
+
+// Crash is the end of an engine, identified by the hash of its ID, during an answer.
+type Crash struct {
+	Upstream uint32        `msgpack:"u" json:"upstream"`
+	Age      time.Duration `msgpack:"a" json:"age"`
+}
+
 // Plus returns the sum of two instances' tallies of an upstream.
 func (t Tally) Plus(other Tally) Tally {
 	return Tally{Upstream: t.Upstream, Served: t.Served + other.Served, Failed: t.Failed + other.Failed}
--- a/jay/jayplace/cache.go
+++ b/jay/jayplace/cache.go
@@ -51,6 +51,11 @@
 	return uint32(xxhash.Sum64String(name)) //nolint:gosec // Only the lower half is used.
 }
 
+// UpstreamHash returns the short hash of an upstream's ID in reports to other instances.
+func UpstreamHash(id string) uint32 {
+	return hash32(id)
+}
+
 // markCached records that an upstream has cached a prefix, and announces it to other
 // instances.
 func (t *Table) markCached(now time.Time, u *upstream, prefix string) {
--- a/jay/jayplace/work.go
+++ b/jay/jayplace/work.go
@@ -30,6 +30,8 @@
 	Service string
 	// Prompt is set for completions; the sizes below are in tokens.
 	Prompt bool
+	// Parts identify the parts of the prompt that other requests may have too, in order.
+	Parts []string
 	// Prefix identifies the prompt prefix that other requests begin with too.
 	Prefix string
 	// PrefixTokens and OwnTokens are the sizes of that prefix and of the rest of the prompt,
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -40,6 +40,9 @@
 	// Start is called when a request is sent to an upstream, End when it ends there.
 	Start(id string)
 	End(id string, outcome jayplace.Outcome, took time.Duration, prompt bool)
+	// EndAnswer is called when an upstream ends an answer to a prompt that it began, whether
+	// or not the answer is complete.
+	EndAnswer(w jayplace.Work, id string, outcome jayplace.Outcome)
 	// RecordLoad records the load that an upstream reports.
 	RecordLoad(id string, load jayplace.Load)
 }
@@ -214,7 +217,7 @@
 func (x *exchange) work() jayplace.Work {
 	w := jayplace.Work{ID: x.call.ID, Service: x.service, Avoid: x.avoid}
 	if p := x.call.Prompt; p != nil && x.route.Prompt {
-		w.Prompt = true
+		w.Prompt, w.Parts = true, p.Parts
 		w.Prefix, w.PrefixTokens, w.OwnTokens, w.ExpectedOutputTokens = p.Prefix, p.PrefixTokens, p.OwnTokens, p.EstimatedOutputTokens
 		if p.EstimatedOutputTokens == 0 {
 			w.ExpectedOutputTokens = p.OutputTokens
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -151,7 +151,12 @@
 	if x.runs > 0 {
 		return x.unknownOutcome(cause)
 	}
-	return x.refusal(http.StatusServiceUnavailable, refusedRetryAfter, cause.Error())
+	retryAfter := refusedRetryAfter
+	var rejection interface{ RetryAfter() time.Duration }
+	if errors.As(cause, &rejection) {
+		retryAfter = rejection.RetryAfter()
+	}
+	return x.refusal(http.StatusServiceUnavailable, retryAfter, cause.Error())
 }
 
 // logRetry logs a request that is retried.
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -94,12 +94,20 @@
 	s.decodeUpstream = decodeUpstream
 	resp, f := s.send(ctx, decodeUpstream, send)
 	if f != nil {
+		s.recordAnswer(decodeUpstream, f.outcome)
 		return f
 	}
 	send.Source = ""
 	return s.relay(ctx, resp, func() { endPrefill(true) })
 }
 
+// recordAnswer reports an answer that was completed or cut off by its upstream to the placer.
+func (s *stream) recordAnswer(upstream jayfleet.Upstream, outcome jayplace.Outcome) {
+	if s.route.Prompt && (outcome == jayplace.OutcomeServed || outcome == jayplace.OutcomeBroken) {
+		s.placer.EndAnswer(s.work(), upstream.ID, outcome)
+	}
+}
+
 // recordServed logs a response that was sent completely, and counts it if an event was
 // forwarded: an upstream's error response has been counted by forwardResponse.
 func (s *stream) recordServed(ctx context.Context) {
@@ -120,17 +128,21 @@
 	}
 	s.writeHeader(resp)
 	reader := newEventReader(resp.Body)
-	for {
+	for events := 0; ; events++ {
 		e, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			resp.Complete()
 			s.recordResponse(resp, jayplace.OutcomeServed)
+			if events > 0 {
+				s.recordAnswer(resp.upstream, jayplace.OutcomeServed)
+			}
 			return nil
 		}
 		if err != nil {
 			resp.Close()
 			f := s.exchangeFailure(ctx, err)
 			s.recordResponse(resp, f.outcome)
+			s.recordAnswer(resp.upstream, f.outcome)
 			return f
 		}
 		onEvent()
--- a/jay/jayroster/fanout_test.go
+++ b/jay/jayroster/fanout_test.go
@@ -156,7 +156,7 @@
 	z := &policyZone{topic: &policyTopic{changed: make(chan struct{})}}
 	ctx, z.cancel = context.WithCancel(ctx)
 	network, log := jaystandin.NewNetwork(), slog.New(slog.DiscardHandler)
-	var list []jaystore.Record
+	list := make([]jaystore.Record, 0, count)
 	for n := range count {
 		address := fmt.Sprintf("10.0.0.%d:7000", n+1)
 		h := network.Host(address, slowLink)
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -95,44 +95,23 @@
 // much; it waits until there are some, unless interrupt is nil. It reports false if the store
 // is to be read.
 func (t *TopicReader) readZone(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, bool) {
-	var busySince time.Time
+	wait, busySince := interrupt != nil, time.Time{}
 	for ctx.Err() == nil {
-		watcher, next, at, ok := t.roster.watcherPosition(t.topic, t.maxAge)
+		list, next, result := t.pollZone(ctx, from, wait)
 		switch {
-		case !ok && !t.roster.starting():
+		case result == pollRead:
+			return list, next, true
+		case result == pollUnusable:
+			return nil, 0, false
+		case result == pollBusy && busySince.IsZero():
+			// The records that an interrupt would be about are about to be transferred.
+			busySince, interrupt = time.Now(), nil
+		case result == pollBusy && time.Since(busySince) > maxBusyWait:
 			return nil, 0, false
-		case !ok:
-			// The newest records have just been read, and the first heartbeats will identify the watcher.
-		case next > from:
-			list, next, result := t.fetch(ctx, t.roster.supplier(watcher, t.topic, next), from)
-			if result == resultFetched {
-				t.mirror.MarkRead(at, next)
-			}
-			if result != resultBusy {
-				return list, next, result == resultFetched
-			}
-			if busySince.IsZero() {
-				busySince = time.Now()
-			}
-			if time.Since(busySince) > maxBusyWait {
-				return nil, 0, false
-			}
-		case interrupt == nil:
-			t.mirror.MarkRead(at, from)
-			// A read without waiting of a long-polled topic was triggered by a record that the
-			// watcher does not have: the watcher may be cut off from the store.
-			return nil, from, t.minInterval > 0
-		default:
-			t.mirror.MarkRead(at, from)
-		}
-		wake := interrupt
-		if !busySince.IsZero() {
-			// The records that the interrupting caller waits for are about to be transferred.
-			wake = nil
 		}
 		select {
 		case <-time.After(watcherPollInterval):
-		case <-wake:
+		case <-interrupt:
 			return nil, 0, false
 		case <-ctx.Done():
 		}
@@ -140,6 +119,58 @@
 	return nil, 0, false
 }
 
+// pollResult is the result of one check for records in the zone.
+type pollResult string
+
+const (
+	pollRead pollResult = "read"
+	// pollEmpty means that there are no records yet.
+	pollEmpty pollResult = "empty"
+	// pollBusy means that an instance has records but too many transfers in progress.
+	pollBusy pollResult = "busy"
+	// pollUnusable means that the store is to be read instead.
+	pollUnusable pollResult = "unusable"
+)
+
+// pollZone returns the records from an offset on that another instance of the zone has.
+func (t *TopicReader) pollZone(ctx context.Context, from int64, wait bool) ([]jaystore.Record, int64, pollResult) {
+	watcher, next, at, ok := t.roster.watcherPosition(t.topic, t.maxAge)
+	switch {
+	case !ok && t.roster.starting():
+		// The newest records have just been read, and the first heartbeats will identify the watcher.
+		return nil, from, pollEmpty
+	case !ok:
+		return nil, 0, pollUnusable
+	case next > from:
+		return t.fetchFrom(ctx, t.roster.supplier(watcher, t.topic, next), from, at)
+	}
+	t.mirror.MarkRead(at, from)
+	switch {
+	case wait:
+		return nil, from, pollEmpty
+	case t.minInterval > 0:
+		return nil, from, pollRead
+	default:
+		// A read without waiting of a long-polled topic was triggered by a record that the
+		// watcher does not have: the watcher may be cut off from the store.
+		return nil, 0, pollUnusable
+	}
+}
+
+// fetchFrom requests the records of an instance whose zone has read the store at a point in time.
+func (t *TopicReader) fetchFrom(ctx context.Context, address string, from int64, at time.Time) ([]jaystore.Record, int64, pollResult) {
+	list, next, result := t.fetch(ctx, address, from)
+	switch result {
+	case resultFetched:
+		t.mirror.MarkRead(at, next)
+		return list, next, pollRead
+	case resultBusy:
+		return nil, from, pollBusy
+	default:
+		return nil, 0, pollUnusable
+	}
+}
+
 // fetchResult is the result of a request for another instance's records.
 type fetchResult string
 
--- a/jay/jayroster/transfer_test.go
+++ b/jay/jayroster/transfer_test.go
@@ -32,7 +32,8 @@
 				}
 			}
 			ok := limiter.begin(now, x)
-			if again, was := started[x]; ok != (running < maxTransfers) && !(was && now.Sub(again) < transferTimeout) {
+			again, was := started[x]
+			if want := running < maxTransfers || was && now.Sub(again) < transferTimeout; ok != want {
 				t.Fatalf("begin = %v with %d transfers running", ok, running)
 			}
 			if ok {
