Bound what is read of a response without end

Cause: an upstream in trouble may send bytes without end. The status line, the header lines and the lines of a stream were read into memory until the deadline, and each body up to 16 MB, whatever the others took. Change: a connection reads at most 64 KB up to the end of a header and 1 MB of a late answer; an event ends with an error at 1 MB also within a line; bodies of more than 64 KB take at most 32 MB together. The common bound of bodies has no test of its own.

--- a/jay/jaylink/conn.go
+++ b/jay/jaylink/conn.go
@@ -2,17 +2,23 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"jayfield.example/jay/jayerror"
 )
 
 const (
 	// readBuffer holds a response header and a few events.
 	readBuffer = 4 << 10
+	// maxHeaderBytes bounds what is read up to the end of a response header, late answers to
+	// earlier requests included; maxForeignBody counts beside it.
+	maxHeaderBytes = 64 << 10
 	// keepMargin is how long before the announced end of an idle connection it is given up.
 	keepMargin = time.Second
 	// keepDefault is how long a connection rests where the upstream announces nothing.
@@ -23,6 +29,7 @@
 type conn struct {
 	net.Conn
 	address string
+	source  *limitedReader
 	reader  *bufio.Reader
 	// idleSince is when the connection became idle, until when it may be used again.
 	idleSince, until time.Time
@@ -30,7 +37,31 @@
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}
+	source := &limitedReader{source: raw, left: noLimit}
+	return &conn{Conn: raw, address: address, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
+}
+
+// noLimit makes a limitedReader read without a limit.
+const noLimit = -1
+
+// limitedReader reads at most a number of bytes and then returns an error, unlike
+// io.LimitedReader, which returns io.EOF as if the source had ended.
+type limitedReader struct {
+	source io.Reader
+	left   int
+}
+
+// Read reads from the source.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.left == noLimit {
+		return r.source.Read(p) //nolint:wrapcheck // Readers depend on io.EOF.
+	}
+	if r.left == 0 {
+		return 0, jayerror.Newf("receive", KindSpoilt, "response header is larger than %d bytes", maxHeaderBytes)
+	}
+	n, err := r.source.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err //nolint:wrapcheck // Readers depend on io.EOF.
 }
 
 // clean reports whether nothing has arrived since the last answer: no surplus
--- a/jay/jaylink/exchange.go
+++ b/jay/jaylink/exchange.go
@@ -116,6 +116,8 @@
 
 // receive reads headers until one belongs to the request.
 func (c *conn) receive(request *Request) (*http.Response, error) {
+	c.source.left = maxHeaderBytes
+	defer func() { c.source.left = noLimit }()
 	for range maxForeign + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -127,7 +129,9 @@
 		if request.Matches == nil || request.Matches(response.StatusCode, response.Header) {
 			return response, nil
 		}
+		c.source.left = maxForeignBody
 		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody))
+		c.source.left = maxHeaderBytes
 		if err != nil || response.Close {
 			return nil, jayerror.Wrap("receive", KindSpoilt, errors.New("answer to another request"))
 		}
--- a/jay/jayrelay/event.go
+++ b/jay/jayrelay/event.go
@@ -33,16 +33,15 @@
 func (r *eventReader) next() (event, error) {
 	e := event{id: -1}
 	for {
-		line, err := r.source.ReadBytes('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.data)+len(line) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
-			return event{}, err //nolint:wrapcheck // io.EOF is part of the contract.
+		start := len(e.data)
+		err := r.appendLine(&e)
+		if errors.Is(err, io.EOF) && len(e.data) > 0 {
+			err = io.ErrUnexpectedEOF
 		}
-		if e.data = append(e.data, line...); len(e.data) > maxEventBytes {
-			return event{}, errors.Errorf("event is larger than %d bytes", maxEventBytes)
+		if err != nil {
+			return event{}, err
 		}
+		line := e.data[start:]
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			return e, nil
@@ -56,3 +55,16 @@
 		}
 	}
 }
+
+// appendLine reads a line, with its end, and appends it to the data of an event.
+func (r *eventReader) appendLine(e *event) error {
+	for {
+		part, err := r.source.ReadSlice('\n')
+		if e.data = append(e.data, part...); len(e.data) > maxEventBytes {
+			return errors.Errorf("event is larger than %d bytes", maxEventBytes)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err //nolint:wrapcheck // io.EOF is part of the contract.
+		}
+	}
+}
--- a/jay/jayrelay/plain.go
+++ b/jay/jayrelay/plain.go
@@ -1,6 +1,7 @@
 package jayrelay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -14,9 +15,17 @@
 	"jayfield.example/jay/jaysink"
 )
 
-// maxResponseBytes limits the body of a response that is not streamed, since it is
-// buffered until it is complete.
-const maxResponseBytes = 16 << 20
+const (
+	// maxResponseBytes limits the body of a response that is not streamed, since it is
+	// buffered until it is complete.
+	maxResponseBytes = 16 << 20
+	// maxBufferedBytes limits what is buffered of all large bodies together, those of more
+	// than smallBodyBytes.
+	maxBufferedBytes = 32 << 20
+	smallBodyBytes   = 64 << 10
+	// bodyChunkBytes is the size of one read of a body.
+	bodyChunkBytes = 16 << 10
+)
 
 // servePlain serves a request whose response is buffered and forwarded when complete.
 func (x *exchange) servePlain(ctx context.Context) {
@@ -51,10 +60,7 @@
 // may run again is a failure as long as attempts, sends and more than a quarter of the
 // route's timeout are left to try another upstream.
 func (x *exchange) readResponseBody(ctx context.Context, resp *upstreamResponse) ([]byte, *failure) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Errorf("answer is larger than %d bytes", maxResponseBytes)
-	}
+	body, err := x.buffer(resp.Body)
 	if err != nil {
 		resp.Close()
 		f := x.exchangeFailure(ctx, err)
@@ -73,6 +79,29 @@
 	return body, nil
 }
 
+// buffer reads a body until its end.
+func (x *exchange) buffer(source io.Reader) ([]byte, error) {
+	var body bytes.Buffer
+	counted := int64(0)
+	defer func() { x.buffered.Add(-counted) }()
+	for {
+		n, err := io.CopyN(&body, source, bodyChunkBytes)
+		switch {
+		case errors.Is(err, io.EOF):
+			return body.Bytes(), nil
+		case err != nil:
+			return nil, errors.WithStack(err)
+		case body.Len() > maxResponseBytes:
+			return nil, errors.Errorf("answer is larger than %d bytes", maxResponseBytes)
+		case body.Len() <= smallBodyBytes:
+			continue
+		}
+		if counted += n; x.buffered.Add(n) > maxBufferedBytes {
+			return nil, errors.Errorf("large answers take more than %d bytes together", maxBufferedBytes)
+		}
+	}
+}
+
 // forwardResponse sends an upstream's complete response to the caller.
 func (x *exchange) forwardResponse(resp *upstreamResponse, body []byte) {
 	copyHeader(x.writer.Header(), resp.Header)
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,6 +71,8 @@
 	metrics  *jaymetric.Set
 	series   *jaymetric.Exposition
 	log      *slog.Logger
+	// buffered is the size of the large bodies that are being read.
+	buffered atomic.Int64
 }
 
 // Options are the dependencies of a relay.
