Give no work to upstreams that state that they leave or are busy

Callers' requests reached engines that had answered that they leave, or that they want nothing for a time. Cause: the adapter read neither statement; the registry alone ended new work, and a busy upstream was tried again after 50 ms. Change: Server-Leaving on any answer and Retry-After on a 503 become a hold of the upstream in jayplace: no new request, resume, decode or fetch of kept parts, also where all others are ejected, whatever its registry entry does; another or restarted upstream is not held. Busy times are bounded to five minutes, get up to 1 s of jitter, and work returns by steps. Where all are busy, callers are refused at once with the time of the first one. Log lines, two counters.

--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -9,6 +9,7 @@
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jayplace"
 	"jayfield.example/jay/jayquarantine"
+	"jayfield.example/jay/jayrelay"
 	"jayfield.example/jay/jayroster"
 	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jaytask"
@@ -43,6 +44,9 @@
 			p.log.Info("upstream removed", "upstream", id, "reason", "entry still missing after the grace period that follows a store outage")
 		}
 		p.configure(s)
+		for _, id := range s.table.EndHolds(now) {
+			p.log.Info("upstream used again", "upstream", id, "reason", "the time for which it stated to be busy or leaving has passed")
+		}
 		p.logQuarantine(s.quarantine.Tick(now))
 	})
 	return p
@@ -109,6 +113,22 @@
 	return jayquarantine.Request{ID: w.ID, Service: w.Service, Parts: w.Parts}
 }
 
+// RecordStatement records that an upstream states in its answer to a request that it is leaving
+// or busy.
+func (p *placer) RecordStatement(u jayfleet.Upstream, request string, reply jayrelay.Reply) {
+	p.send(context.Background(), func(s *placerState) {
+		now := time.Now()
+		if reply.Leaving && s.table.MarkLeaving(now, u) {
+			p.log.Info("upstream leaving", "upstream", u.ID, "request", request, "reason", "its answer states so")
+		}
+		if !reply.Busy {
+			return
+		}
+		until, outOfBounds := s.table.HoldBusy(now, u, reply.BusyFor)
+		p.log.Info("upstream busy", "upstream", u.ID, "request", request, "stated", reply.BusyFor, "outOfBounds", outOfBounds, "until", until)
+	})
+}
+
 // RecordLoad records the load that an upstream reported.
 func (p *placer) RecordLoad(id string, load jayplace.Load) {
 	p.send(context.Background(), func(s *placerState) { s.table.RecordLoad(time.Now(), id, load) })
--- a/jay/jayplace/home.go
+++ b/jay/jayplace/home.go
@@ -34,7 +34,7 @@
 // than waiting.
 func (t *Table) choosePrompt(now time.Time, candidates []*upstream, w Work) (Choice, error) {
 	if !slices.ContainsFunc(candidates, func(u *upstream) bool { return u.spec.Stage != jayfleet.StagePrefill }) {
-		return Choice{}, jayerror.New("choose", KindNone, "no engine gives answers")
+		return Choice{}, jayerror.Wrap("choose", KindNone, t.none(now, w.Service))
 	}
 	t.mix.add(now, w)
 	e := t.estimate(now, home(candidates, w, t.mix.offload()), w)
@@ -49,7 +49,7 @@
 func (t *Table) DecodeUpstream(now time.Time, w Work, prefillEngine jayfleet.Upstream) (jayfleet.Upstream, error) {
 	engine := t.leastBusyDecoder(now, t.candidates(now, w), w, prefillEngine)
 	if engine == nil {
-		return jayfleet.Upstream{}, jayerror.New("host", KindNone, "no engine gives answers")
+		return jayfleet.Upstream{}, jayerror.Wrap("host", KindNone, t.none(now, w.Service))
 	}
 	// A decode engine caches the prefixes that it fetches like those that it prefills.
 	t.markCached(now, engine, w.Prefix)
@@ -93,7 +93,12 @@
 // tieBreak returns a number below 1, derived from the hash of the request ID, that orders
 // equal upstreams differently for each request.
 func tieBreak(id uint64, u *upstream) float64 {
-	return float64(hashPair(u.idHash, id)>>1) / (1 << 63)
+	return fraction(hashPair(u.idHash, id))
+}
+
+// fraction returns a number from 0 to below 1 that is derived from a hash.
+func fraction(hash uint64) float64 {
+	return float64(hash>>1) / (1 << 63)
 }
 
 // hashPair returns the hash of two hashes. It does not allocate, since it runs for each
--- a/jay/jayplace/predict.go
+++ b/jay/jayplace/predict.go
@@ -96,7 +96,7 @@
 func (t *Table) source(now time.Time, to *upstream, w Work, prefix uint32) *upstream {
 	var best *upstream
 	for _, u := range t.services[w.Service] {
-		if u == to || now.Before(u.ejectedUntil) || !u.cache.holds(now, prefix) {
+		if u == to || now.Before(u.ejectedUntil) || t.held(now, u) || !u.cache.holds(now, prefix) {
 			continue
 		}
 		if best == nil || transferTime(w.PrefixTokens, to, u) < transferTime(w.PrefixTokens, to, best) {
--- a/jay/jayplace/table.go
+++ b/jay/jayplace/table.go
@@ -23,12 +23,14 @@
 	services  map[string][]*upstream
 	// announcements are the cached prefixes to announce to other instances.
 	announcements []announcement
-	mix           mix
+	// holds are what upstreams have stated about themselves, by ID.
+	holds map[string]*hold
+	mix   mix
 }
 
 // NewTable returns a table without upstreams for an instance at a location.
 func NewTable(location Location, regions map[string]string) *Table {
-	return &Table{location: location, regions: regions, upstreams: make(map[string]*upstream), services: make(map[string][]*upstream)}
+	return &Table{location: location, regions: regions, upstreams: make(map[string]*upstream), services: make(map[string][]*upstream), holds: make(map[string]*hold)}
 }
 
 // Configure replaces the upstreams that take new requests. Upstreams that stay keep their
@@ -60,7 +62,7 @@
 func (t *Table) Choose(now time.Time, w Work) (Choice, error) {
 	candidates := t.candidates(now, w)
 	if len(candidates) == 0 {
-		return Choice{}, jayerror.Newf("choose", KindNone, "none of the %d upstreams of the service takes work", len(t.services[w.Service]))
+		return Choice{}, jayerror.Wrap("choose", KindNone, t.none(now, w.Service))
 	}
 	if w.Prompt {
 		return t.choosePrompt(now, candidates, w)
@@ -69,15 +71,15 @@
 }
 
 // candidates returns the upstreams that may take the request. If all upstreams not yet tried
-// are ejected, it returns the ejected ones.
+// are ejected, it returns the ejected ones, but never those that are held.
 func (t *Table) candidates(now time.Time, w Work) []*upstream {
 	all := t.services[w.Service]
 	usable := make([]*upstream, 0, len(all))
 	ejected := make([]*upstream, 0, len(all))
 	for _, u := range all {
 		switch {
-		case w.Avoid[u.spec.ID]:
-		case now.Before(u.ejectedUntil):
+		case w.Avoid[u.spec.ID], t.held(now, u):
+		case now.Before(u.ejectedUntil), t.ramping(now, u):
 			ejected = append(ejected, u)
 		default:
 			usable = append(usable, u)
--- a/jay/jayrelay/dialect.go
+++ b/jay/jayrelay/dialect.go
@@ -83,6 +83,12 @@
 	NotRun bool
 	// Moved is set if another upstream now has the address.
 	Moved bool
+	// Leaving is set if the upstream states that it is leaving.
+	Leaving bool
+	// Busy is set if the upstream rejected the request and states how long it wants none,
+	// which is BusyFor. A negative BusyFor means that the statement is malformed.
+	Busy    bool
+	BusyFor time.Duration
 	// Encoded is set if the body has a content encoding, which means that it is not the
 	// upstream's original body.
 	Encoded bool
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -44,6 +44,9 @@
 	// EndAnswer is called when an upstream ends an answer to a prompt that it began, whether
 	// or not the answer is complete.
 	EndAnswer(w jayplace.Work, id string, outcome jayplace.Outcome)
+	// RecordStatement is called when an upstream states in its answer to a request that it is
+	// leaving or busy.
+	RecordStatement(u jayfleet.Upstream, request string, reply Reply)
 	// RecordLoad records the load that an upstream reports.
 	RecordLoad(id string, load jayplace.Load)
 }
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -75,6 +75,7 @@
 	if resp.reply.Load != nil {
 		x.placer.RecordLoad(to.ID, *resp.reply.Load)
 	}
+	x.recordStatement(to, resp.reply)
 	if f := checkResponse(resp, s.PrefillOnly); f != nil {
 		response.Close()
 		x.recordResponse(resp, f.outcome)
@@ -83,6 +84,19 @@
 	return resp, nil
 }
 
+// recordStatement reports what an upstream states about itself in an answer to the placer.
+func (x *exchange) recordStatement(u jayfleet.Upstream, reply Reply) {
+	if reply.Leaving {
+		x.series.Count("upstream_leaving_answers_total", jaymetric.Label{Name: "upstream", Value: u.ID})
+	}
+	if reply.Busy {
+		x.series.Count("upstream_busy_answers_total", jaymetric.Label{Name: "upstream", Value: u.ID})
+	}
+	if reply.Leaving || reply.Busy {
+		x.placer.RecordStatement(u, x.call.ID, reply)
+	}
+}
+
 // exchangeFailure returns the failure for an exchange that got no complete response.
 func (x *exchange) exchangeFailure(ctx context.Context, err error) *failure {
 	f := &failure{cause: err, ran: true, outcome: jayplace.OutcomeBroken}
@@ -153,7 +167,7 @@
 	}
 	retryAfter := refusedRetryAfter
 	var rejection interface{ RetryAfter() time.Duration }
-	if errors.As(cause, &rejection) {
+	if errors.As(cause, &rejection) && rejection.RetryAfter() > 0 {
 		retryAfter = rejection.RetryAfter()
 	}
 	return x.refusal(http.StatusServiceUnavailable, retryAfter, cause.Error())
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -231,6 +231,7 @@
 	request := &jaylink.Request{Method: method, Target: target, Host: prefillUpstream.Address, Header: make(http.Header), MaxIdle: defaultMaxIdle}
 	response, err := s.links.Exchange(ctx, prefillUpstream.Address, request)
 	if err == nil {
+		s.recordStatement(prefillUpstream, s.dialect.ParseReply(response.Status, response.Header))
 		_, err = io.Copy(io.Discard, response.Body)
 		response.Complete()
 	}
