--- a/jay/jayquarantine/table_test.go
+++ b/jay/jayquarantine/table_test.go
@@ -16,23 +16,23 @@
 const (
 	step = 50 * time.Millisecond
 	// contact is the time after the fifth crash from which requests with the part have to be rejected.
-	contact    = 4 * time.Second
-	maxAfter   = 3
-	deadlyPart = "deadly"
-	firstPart  = "first"
+	contact   = 4 * time.Second
+	maxAfter  = 3
+	fatalPart = "fatal"
+	firstPart = "first"
 )
 
 // plan describes the load and the faults of a simulation.
 type plan struct {
 	instances, engines int
-	// sound, deadly and faults are the probabilities, in each step, of a sound request, of a request
-	// with the deadly part, and of the crash of an engine for another reason.
-	sound, deadly, faults float64
+	// sound, fatal and faults are the probabilities, in each step, of a sound request, of a request
+	// with the fatal part, and of the crash of an engine for another reason.
+	sound, fatal, faults float64
 	// together is the number of engines that a fault ends at a time.
 	together int
 	// gossip is the time between two reports and also the time until they arrive.
 	gossip time.Duration
-	// companions is the share of sound requests with the first part of the deadly ones.
+	// companions is the share of sound requests with the first part of the fatal ones.
 	companions float64
 }
 
@@ -52,9 +52,9 @@
 	downTil []time.Time
 	starts  []int
 	running []answer
-	// crashes are the times of the crashes that the deadly part caused.
+	// crashes are the times of the crashes that the fatal part caused.
 	crashes                           []time.Time
-	deadlyAfter                       int
+	fatalAfter                        int
 	sentSound, refusedSound           int
 	sentCompanions, refusedCompanions int
 }
@@ -83,8 +83,8 @@
 			}
 			s.send(jayquarantine.Request{Service: "s", Parts: []string{first, fmt.Sprint("q", s.source.IntN(60))}})
 		}
-		if s.source.Float64() < s.deadly {
-			s.send(jayquarantine.Request{Service: "s", Parts: []string{firstPart, deadlyPart}})
+		if s.source.Float64() < s.fatal {
+			s.send(jayquarantine.Request{Service: "s", Parts: []string{firstPart, fatalPart}})
 		}
 		if s.source.Float64() < s.faults {
 			for range s.together {
@@ -116,17 +116,17 @@
 	r.ID = fmt.Sprint(s.source.Uint64())
 	i, engine := s.source.IntN(s.instances), s.source.IntN(s.engines)
 	err := s.tables[i].Check(s.now, r)
-	deadly := r.Parts[1] == deadlyPart
-	if !deadly {
+	fatal := r.Parts[1] == fatalPart
+	if !fatal {
 		s.sentSound++
 	}
 	settled := len(s.crashes) > 0 && s.now.Sub(s.crashes[min(4, len(s.crashes)-1)]) > 2*contact
-	companion := !deadly && r.Parts[0] == firstPart && settled
+	companion := !fatal && r.Parts[0] == firstPart && settled
 	if companion {
 		s.sentCompanions++
 	}
 	if err != nil {
-		if !deadly {
+		if !fatal {
 			s.refusedSound++
 		}
 		if companion {
@@ -134,8 +134,8 @@
 		}
 		return
 	}
-	if deadly && len(s.crashes) >= 5 && s.now.Sub(s.crashes[4]) > contact {
-		s.deadlyAfter++
+	if fatal && len(s.crashes) >= 5 && s.now.Sub(s.crashes[4]) > contact {
+		s.fatalAfter++
 	}
 	for n := 0; s.now.Before(s.downTil[engine]); n++ {
 		if engine = (engine + 1) % s.engines; n == s.engines {
@@ -151,7 +151,7 @@
 		if s.now.Before(a.endsAt) {
 			continue
 		}
-		if a.request.Parts[1] == deadlyPart {
+		if a.request.Parts[1] == fatalPart {
 			s.crashes = append(s.crashes, s.now)
 			s.crash(a.engine)
 			n = -1
@@ -189,15 +189,15 @@
 
 // Guards against engines that keep crashing under requests with one prompt part, and against sound requests that
 // are rejected because of it or because engines fail for other reasons.
-func TestDeadlyPartIsIsolated(t *testing.T) {
+func TestFatalPartIsIsolated(t *testing.T) {
 	tests := map[string]plan{
-		"small site":             {instances: 7, engines: 12, sound: 0.9, deadly: 0.055, gossip: 250 * time.Millisecond, companions: 1},
-		"rare":                   {instances: 7, engines: 12, sound: 0.9, deadly: 0.01, gossip: 250 * time.Millisecond, companions: 1},
-		"few companions":         {instances: 8, engines: 12, sound: 0.9, deadly: 0.055, gossip: 250 * time.Millisecond, companions: 0.04},
-		"few companions, late":   {instances: 12, engines: 40, sound: 1, deadly: 0.1, gossip: time.Second, companions: 0.04},
-		"frequent":               {instances: 7, engines: 12, sound: 0.9, deadly: 0.3, gossip: 250 * time.Millisecond, companions: 1},
-		"late reports":           {instances: 12, engines: 40, sound: 1, deadly: 0.2, gossip: time.Second, companions: 1},
-		"faults beside":          {instances: 7, engines: 12, sound: 0.9, deadly: 0.055, faults: 0.01, together: 2, gossip: 250 * time.Millisecond, companions: 1},
+		"small site":             {instances: 7, engines: 12, sound: 0.9, fatal: 0.055, gossip: 250 * time.Millisecond, companions: 1},
+		"rare":                   {instances: 7, engines: 12, sound: 0.9, fatal: 0.01, gossip: 250 * time.Millisecond, companions: 1},
+		"few companions":         {instances: 8, engines: 12, sound: 0.9, fatal: 0.055, gossip: 250 * time.Millisecond, companions: 0.04},
+		"few companions, late":   {instances: 12, engines: 40, sound: 1, fatal: 0.1, gossip: time.Second, companions: 0.04},
+		"frequent":               {instances: 7, engines: 12, sound: 0.9, fatal: 0.3, gossip: 250 * time.Millisecond, companions: 1},
+		"late reports":           {instances: 12, engines: 40, sound: 1, fatal: 0.2, gossip: time.Second, companions: 1},
+		"faults beside":          {instances: 7, engines: 12, sound: 0.9, fatal: 0.055, faults: 0.01, together: 2, gossip: 250 * time.Millisecond, companions: 1},
 		"faults only":            {instances: 7, engines: 12, sound: 0.9, faults: 0.02, together: 1, gossip: 250 * time.Millisecond, companions: 1},
 		"faults at many at once": {instances: 7, engines: 12, sound: 0.9, faults: 0.01, together: 5, gossip: 250 * time.Millisecond, companions: 1},
 	}
@@ -206,8 +206,8 @@
 			for seed := range soakSeeds(8) {
 				s := newSimulation(p, seed)
 				s.run(70 * time.Second)
-				if s.deadlyAfter > maxAfter {
-					t.Errorf("seed %d: %d requests with the part sent later than %s after the fifth crash, want at most %d", seed, s.deadlyAfter, contact, maxAfter)
+				if s.fatalAfter > maxAfter {
+					t.Errorf("seed %d: %d requests with the part sent later than %s after the fifth crash, want at most %d", seed, s.fatalAfter, contact, maxAfter)
 				}
 				if s.refusedSound*20 > s.sentSound {
 					t.Errorf("seed %d: %d of %d sound requests rejected", seed, s.refusedSound, s.sentSound)
@@ -215,7 +215,7 @@
 				if s.sentCompanions >= 20 && s.refusedCompanions*2 > s.sentCompanions {
 					t.Errorf("seed %d: %d of %d sound requests with the same first part rejected", seed, s.refusedCompanions, s.sentCompanions)
 				}
-				if p.deadly > 0.05 && len(s.crashes) < minCrashes {
+				if p.fatal > 0.05 && len(s.crashes) < minCrashes {
 					t.Errorf("seed %d: %d crashes", seed, len(s.crashes))
 				}
 			}
@@ -230,7 +230,7 @@
 	now := time.Unix(1000, 0)
 	tables := map[string]*jayquarantine.Table{"trials": jayquarantine.NewTable(), "no trials": jayquarantine.NewTable()}
 	tables["trials"].SetTrials(true)
-	r := jayquarantine.Request{ID: "r", Service: "s", Parts: []string{deadlyPart}}
+	r := jayquarantine.Request{ID: "r", Service: "s", Parts: []string{fatalPart}}
 	exchange := func() {
 		reports := [][]jaymember.Suspect{tables["trials"].Reports(now), tables["no trials"].Reports(now)}
 		tables["no trials"].Merge(now, now, reports[0])
@@ -278,13 +278,13 @@
 func TestLateReportsRefuteSuspicion(t *testing.T) {
 	now, table, other := time.Unix(1000, 0), jayquarantine.NewTable(), jayquarantine.NewTable()
 	sound := jayquarantine.Request{ID: "r", Service: "s", Parts: []string{"sound"}}
-	deadly := jayquarantine.Request{ID: "d", Service: "s", Parts: []string{deadlyPart}}
+	fatal := jayquarantine.Request{ID: "d", Service: "s", Parts: []string{fatalPart}}
 	late := make([]func(), 0, minCrashes+1)
 	for engine := range uint32(minCrashes + 1) {
 		if engine < minCrashes {
 			table.RecordCrash(now, sound, engine)
 		}
-		other.RecordCrash(now, deadly, engine)
+		other.RecordCrash(now, fatal, engine)
 		sentAt, reports := now, other.Reports(now)
 		late = append(late, func() { table.Merge(now, sentAt, reports) })
 		now = now.Add(500 * time.Millisecond)
@@ -304,7 +304,7 @@
 	if err := table.Check(now, sound); err != nil {
 		t.Errorf("not released: %v", err)
 	}
-	if err := table.Check(now, deadly); err == nil {
+	if err := table.Check(now, fatal); err == nil {
 		t.Error("part with the most evidence is not in quarantine")
 	}
 }
