Identify cached records by all of their keys and offsets

Cause: found while reading. Compressed records were cached by the first and last offset and their number. Change: a hash of all keys and offsets.

--- a/jay/jayroster/mirrorserver.go
+++ b/jay/jayroster/mirrorserver.go
@@ -1,9 +1,11 @@
 package jayroster
 
 import (
+	"encoding/binary"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/klauspost/compress/zstd"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -55,12 +57,11 @@
 	latest map[jaystore.Topic]compressedRecords
 }
 
-// compressedRecords are compressed records with the offsets of the first and last one and
-// their number, which identify them.
+// compressedRecords are compressed records with a hash of their keys and offsets, which
+// identifies them.
 type compressedRecords struct {
-	first, last int64
-	count       int
-	data        []byte
+	hash uint64
+	data []byte
 }
 
 func newMirrorServer(m *mirrors, c *codec, series Series) *mirrorServer {
@@ -115,19 +116,29 @@
 func (s *mirrorServer) compress(topic jaystore.Topic, records []jaystore.Record) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := compressedRecords{first: records[0].Offset, last: records[len(records)-1].Offset, count: len(records)}
-	if latest := s.latest[topic]; latest.first == c.first && latest.last == c.last && latest.count == c.count {
+	hash := hashRecords(records)
+	if latest, ok := s.latest[topic]; ok && latest.hash == hash {
 		return latest.data, nil
 	}
 	data, err := s.codec.compress(records)
 	if err != nil {
 		return nil, err
 	}
-	c.data = data
-	s.latest[topic] = c
+	s.latest[topic] = compressedRecords{hash: hash, data: data}
 	return data, nil
 }
 
+// hashRecords returns a hash of the keys and offsets of records. A tombstone of a snapshot has
+// the offset of its end, so several records may have the same one.
+func hashRecords(records []jaystore.Record) uint64 {
+	digest := xxhash.New()
+	for _, r := range records {
+		_, _ = digest.Write(binary.BigEndian.AppendUint64([]byte(r.Key), uint64(r.Offset))) //nolint:gosec // Any bits will do.
+		_, _ = digest.Write([]byte{byte(min(len(r.Value), 1))})
+	}
+	return digest.Sum64()
+}
+
 func (*mirrorServer) encode(reply mirrorReply) ([]byte, error) {
 	data, err := msgpack.Marshal(reply)
 	if err != nil {
--- a/jay/jayroster/transfer_test.go
+++ b/jay/jayroster/transfer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,10 +63,41 @@
 	}
 }
 
+// Guards against a cached reply that lacks the tombstone of a key which a snapshot no longer has.
+func TestMirrorServerSendsTombstonesOfSnapshot(t *testing.T) {
+	m, mirror := new(mirrors), jaystore.NewMirror(discardConsumer{})
+	a := jaystore.Record{Key: "a", Value: make([]byte, minCompressBytes), Offset: 0}
+	b, c := jaystore.Record{Key: "b", Value: []byte("b"), Offset: 1}, jaystore.Record{Key: "c", Value: []byte("c"), Offset: 2}
+	mirror.Apply(t.Context(), []jaystore.Record{a, b, c})
+	mirror.MarkRead(time.Now(), 3)
+	m.Store(jaystore.TopicUpstreams, mirror)
+	s := newMirrorServer(m, newCodec(), discardSeries{})
+	removed := func() bool {
+		data, err := s.serve(encodeRequest(t, mirrorRequest{Topic: jaystore.TopicUpstreams, Receiver: "i"}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		records, err := newCodec().decompress(decodeReply(t, data).Compressed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return slices.ContainsFunc(records, func(r jaystore.Record) bool { return r.Key == "b" && len(r.Value) == 0 })
+	}
+	if removed() {
+		t.Error("key b removed too early")
+	}
+	mirror.Replace(t.Context(), []jaystore.Record{a, c}, 3)
+	if !removed() {
+		t.Error("key b is not removed")
+	}
+}
+
 type discardConsumer struct{ jaystore.Consumer }
 
 func (discardConsumer) Apply(context.Context, []jaystore.Record) {}
 
+func (discardConsumer) Replace(context.Context, []jaystore.Record, int64) {}
+
 type discardSeries struct{}
 
 func (discardSeries) Add(string, int, ...jaymetric.Label) {}
