Be ready only once the registry of upstreams has been read

Callers of an instance that had just started got 503 (none of the 0 upstreams of the service takes work). Cause: an instance was ready, and offered to callers by the others, as soon as it had a policy; the registry is read beside it.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -134,7 +134,7 @@
 
 // Ready reports whether the instance accepts callers.
 func (e *Edge) Ready() bool {
-	return !e.leaving.Load() && e.policies.Policy() != nil
+	return !e.leaving.Load() && e.policies.Policy() != nil && e.placer.loaded.Load()
 }
 
 // Reload applies changed settings, except those that need a restart.
@@ -179,10 +179,11 @@
 	e.log.Info("instance stopped", "instance", e.self.Name, "took", time.Since(began))
 }
 
-// fillStatus fills in whether the instance is leaving and the version of its policy.
+// fillStatus fills in whether the instance is leaving and, once it can serve requests, the
+// version of its policy.
 func (e *Edge) fillStatus(member *jaymember.Member) {
 	member.Leaving = e.leaving.Load()
-	if policy := e.policies.Policy(); policy != nil {
+	if policy := e.policies.Policy(); policy != nil && e.placer.loaded.Load() {
 		member.Config = policy.Version
 	}
 }
--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"jayfield.example/jay/jayfleet"
@@ -25,6 +26,8 @@
 	adapter Adapter
 	owner   *jaytask.Owner[placerState]
 	log     *slog.Logger
+	// loaded is set once a snapshot of the registry has been applied.
+	loaded atomic.Bool
 }
 
 // placerState is the state that the task owns.
@@ -175,6 +178,7 @@
 		}
 		s.fleet.Replace(time.Now(), end, ids)
 		p.configure(s)
+		p.loaded.Store(true)
 	})
 }
 
