Report records as read by a mirror only once it has them

Cause: a mirror advanced its position when a read returned, before the records of the read were put into it. Another instance that read the mirror at that moment got the position without the records and skipped them for good. Since any instance of a zone may supply records, the moment comes more often than with the watcher alone. Change: a read with records is pending until they are applied. Result: TestMirrorDoesNotSkipPendingRecords holds it; tests of jaystore and jayroster pass.

--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -58,7 +58,7 @@
 	}
 	list, end, err := t.store.Newest(ctx, topic)
 	if err == nil {
-		t.mirror.MarkRead(time.Now(), end)
+		t.mirror.MarkPending(time.Now(), end)
 		return list, end, nil
 	}
 	if list, end, ok := t.fetchFallback(ctx, -1); ok {
@@ -82,7 +82,7 @@
 	list, next, err := t.store.Read(ctx, topic, from, interrupt)
 	if err == nil {
 		// The reply to a long poll reflects the store when the poll ends, so the time is taken now.
-		t.mirror.MarkRead(time.Now(), next)
+		t.markRead(time.Now(), next, list)
 		return list, next, nil
 	}
 	if jayerror.Is(err, jaystore.KindUnavailable) {
@@ -162,7 +162,7 @@
 	list, next, result := t.fetch(ctx, address, from)
 	switch result {
 	case resultFetched:
-		t.mirror.MarkRead(at, next)
+		t.markRead(at, next, list)
 		return list, next, pollRead
 	case resultBusy:
 		return nil, from, pollBusy
@@ -243,10 +243,20 @@
 		return nil, 0, false
 	}
 	t.roster.log.Info("records fetched from another instance", "topic", t.topic, "instance", fallback.Name, "from", from, "next", next, "records", len(list))
-	t.mirror.MarkRead(time.Time{}, next)
+	t.markRead(time.Time{}, next, list)
 	return list, next, true
 }
 
+// markRead records a read in the mirror: at once if it returned no records, else once they
+// have been applied.
+func (t *TopicReader) markRead(at time.Time, next int64, records []jaystore.Record) {
+	if len(records) == 0 {
+		t.mirror.MarkRead(at, next)
+		return
+	}
+	t.mirror.MarkPending(at, next)
+}
+
 // starting reports whether the instance is within startupGrace and not the watcher.
 func (r *Roster) starting() bool {
 	return time.Since(r.started) < startupGrace && !r.isWatcher.Load()
--- a/jay/jaystore/mirror.go
+++ b/jay/jaystore/mirror.go
@@ -21,6 +21,14 @@
 	// record that was kept.
 	next, changed int64
 	readAt        time.Time
+	// pending is the read whose records are still to be applied, nil if there is none.
+	pending *readMark
+}
+
+// readMark is the offset up to which a read was complete as of a point in time.
+type readMark struct {
+	at   time.Time
+	next int64
 }
 
 // MirrorOption configures a mirror.
@@ -46,6 +54,7 @@
 func (m *Mirror) Apply(ctx context.Context, records []Record) {
 	m.mu.Lock()
 	m.put(records)
+	m.commitRead()
 	m.mu.Unlock()
 	m.Consumer.Apply(ctx, records)
 }
@@ -54,6 +63,27 @@
 func (m *Mirror) MarkRead(at time.Time, next int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.advance(at, next)
+}
+
+// MarkPending records that the mirror will be complete up to an offset, as of a point in time,
+// once the records of the read have been applied. Until then other instances that read the
+// mirror must not skip them.
+func (m *Mirror) MarkPending(at time.Time, next int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pending = &readMark{at: at, next: next}
+}
+
+// commitRead advances the mirror to the read whose records have just been applied.
+func (m *Mirror) commitRead() {
+	if m.pending != nil {
+		m.advance(m.pending.at, m.pending.next)
+		m.pending = nil
+	}
+}
+
+func (m *Mirror) advance(at time.Time, next int64) {
 	m.next = max(m.next, next)
 	if at.After(m.readAt) {
 		m.readAt = at
@@ -98,6 +128,7 @@
 		}
 	}
 	m.put(records)
+	m.commitRead()
 	m.mu.Unlock()
 	m.Consumer.Replace(ctx, records, end)
 }
--- a/jay/jaystore/mirror_test.go
+++ b/jay/jaystore/mirror_test.go
@@ -47,3 +47,30 @@
 		})
 	}
 }
+
+// Guards against a mirror that reports records as read before it has them: another instance that reads it at
+// that moment would skip them for good.
+func TestMirrorDoesNotSkipPendingRecords(t *testing.T) {
+	tests := map[string]func(m *jaystore.Mirror, records []jaystore.Record){
+		"apply":   func(m *jaystore.Mirror, records []jaystore.Record) { m.Apply(t.Context(), records) },
+		"replace": func(m *jaystore.Mirror, records []jaystore.Record) { m.Replace(t.Context(), records, 2) },
+	}
+	for name, apply := range tests {
+		t.Run(name, func(t *testing.T) {
+			mirror := jaystore.NewMirror(&consumer{})
+			mirror.Apply(t.Context(), []jaystore.Record{{Key: "a", Value: []byte("1")}})
+			mirror.MarkRead(time.Unix(1000, 0), 1)
+			mirror.MarkPending(time.Unix(1001, 0), 2)
+			if records, next := mirror.From(1); len(records) != 0 || next != 1 {
+				t.Errorf("records = %v, next = %d before they are applied", records, next)
+			}
+			if _, readAt := mirror.Position(); !readAt.Equal(time.Unix(1000, 0)) {
+				t.Errorf("read at %s before the records are applied", readAt)
+			}
+			apply(mirror, []jaystore.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2"), Offset: 1}})
+			if records, next := mirror.From(1); len(records) != 1 || next != 2 {
+				t.Errorf("records = %v, next = %d", records, next)
+			}
+		})
+	}
+}
