Compare the time to come back with when work really returns

The model took an upstream as free as soon as the time that it stated had passed, while the table holds it a little longer, so that not all instances return at once, and named that end. The table is right: it is the earliest time at which a request is sent. Change: the model keeps the end that the table gives and checks it (not before the stated time, at most a quarter later), and the time in the refusal must equal the earliest one, where it had only to be as late.

--- a/jay/jayplace/hold_test.go
+++ b/jay/jayplace/hold_test.go
@@ -25,6 +25,9 @@
 	listed  map[string]jayfleet.Upstream
 	leaving map[jayfleet.Upstream]time.Time
 	busy    map[jayfleet.Upstream]time.Time
+	// returns holds when the table gives each busy upstream work again, which is up to a quarter
+	// of its time later than it stated.
+	returns map[jayfleet.Upstream]time.Time
 }
 
 func (m *holdModel) configure() {
@@ -47,6 +50,7 @@
 		m := &holdModel{
 			table: jayplace.NewTable(jayplace.Location{Zone: "z"}, map[string]string{"z": "r"}), now: start,
 			listed: make(map[string]jayfleet.Upstream), leaving: make(map[jayfleet.Upstream]time.Time), busy: make(map[jayfleet.Upstream]time.Time),
+			returns: make(map[jayfleet.Upstream]time.Time),
 		}
 		ids := []string{"a", "b", "c"}
 		for n, id := range ids {
@@ -64,10 +68,14 @@
 				m.leaving[u] = m.now.Add(leavingTTL)
 			case step == "busy" && isListed:
 				stated := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "stated")) * time.Millisecond
-				m.table.HoldBusy(m.now, u, stated)
+				returns, _ := m.table.HoldBusy(m.now, u, stated)
 				if until := m.now.Add(stated); until.After(m.busy[u]) {
 					m.busy[u] = until
 				}
+				if latest := m.now.Add(stated + stated/4); returns.Before(m.busy[u]) && stated > 0 || returns.After(later(latest, m.returns[u])) {
+					t.Fatalf("work returns at %s, stated %s", returns, stated)
+				}
+				m.returns[u] = later(m.returns[u], returns)
 			case step == "lapse" && isListed:
 				gone[id] = u
 				delete(m.listed, id)
@@ -98,7 +106,9 @@
 	for _, u := range m.listed {
 		if !m.held(u) {
 			free++
-		} else if wait := m.busy[u].Sub(m.now); !m.now.Before(m.leaving[u]) && (earliest == 0 || wait < earliest) {
+		}
+		wait := m.returns[u].Sub(m.now)
+		if !m.now.Before(m.leaving[u]) && wait > 0 && (earliest == 0 || wait < earliest) {
 			earliest = wait
 		}
 	}
@@ -107,9 +117,19 @@
 		t.Fatalf("chose %s, which wants no work", choice.Upstream.ID)
 	}
 	var after interface{ RetryAfter() time.Duration }
-	if err != nil && (!jayerror.Is(err, jayplace.KindNone) || !asRetryAfter(err, &after) || after.RetryAfter() < earliest) {
-		t.Fatalf("error = %v, want to come back after %s at the earliest", err, earliest)
+	if err != nil && (!jayerror.Is(err, jayplace.KindNone) || !asRetryAfter(err, &after) || after.RetryAfter() != earliest) {
+		t.Fatalf("error = %v, want to come back after %s", err, earliest)
+	}
+	if err != nil && free > 0 && earliest == 0 {
+		t.Fatalf("error = %v with %d upstreams that want work", err, free)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 func asRetryAfter(err error, target *interface{ RetryAfter() time.Duration }) bool {
