--- a/jay/jaycall/once_test.go
+++ b/jay/jaycall/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"jayfield.example/jay/jayerror"
@@ -11,13 +12,16 @@
 	"jayfield.example/jay/jayonce"
 )
 
-// unreachableHome is an instance that cannot be reached. Another instance records
-// the outcome at the attempt numbered recordAfter.
+// unreachableHome is an instance that cannot be reached, or that no instance knows. Another
+// instance records the outcome at the attempt numbered recordAfter.
 type unreachableHome struct {
 	forwards, recordAfter int
 	record                func()
+	unknown               bool
 }
 
+func (h *unreachableHome) Known(string) bool { return !h.unknown }
+
 func (h *unreachableHome) Forward(string, jayonce.Call) (jayonce.Outcome, error) {
 	if h.forwards++; h.forwards == h.recordAfter {
 		h.record()
@@ -55,3 +59,29 @@
 		})
 	}
 }
+
+// Guards against an answer that reaches the caller after its timeout: a key whose home no
+// instance knows was tried until 50 ms before it.
+func TestUnknownHomeIsAnsweredInTime(t *testing.T) {
+	tests := map[string]struct {
+		timeLeft, longest time.Duration
+	}{
+		"half of a short timeout": {400 * time.Millisecond, 200 * time.Millisecond},
+		"not all of a long one":   {time.Minute, 2 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				home := jayonce.NewHome(jayonce.NewIssuer("here", time.Now(), time.Minute), nil, nil, nil)
+				defer home.Stop()
+				log := slog.New(slog.DiscardHandler)
+				frontend := NewFrontend(Options{Incarnation: "here", Home: home, Homes: &unreachableHome{unknown: true}, Metrics: jaymetric.NewSet(log), Log: log})
+				started := time.Now()
+				outcome := frontend.callHome(t.Context(), "gone", jayonce.Call{Key: jayonce.Key{Caller: "shop-12", Key: "jt1.gone.1"}, TimeLeft: test.timeLeft})
+				if took := time.Since(started); outcome.Run != jayonce.RunUnknown || took > test.longest {
+					t.Errorf("run = %q after %s, want unknown after at most %s", outcome.Run, took, test.longest)
+				}
+			})
+		})
+	}
+}
