--- a/jay/jaycall/once.go
+++ b/jay/jaycall/once.go
@@ -50,18 +50,25 @@
 	return f.callHome(ctx, home, call)
 }
 
-// forwardRetryDelay is the delay before a call is forwarded to its home again.
-const forwardRetryDelay = 50 * time.Millisecond
+const (
+	// forwardRetryDelay is the delay before a call is forwarded to its home again.
+	forwardRetryDelay = 50 * time.Millisecond
+	// maxUnknownHomeWait is the longest time for which a call is retried whose home is unknown: an
+	// instance that has just started becomes known with the next exchanges of heartbeats.
+	maxUnknownHomeWait = 2 * time.Second
+)
 
 // callHome runs a call at the home of its key, on this instance or another. Only the home
 // may report that the work did not run. A call to an unreachable home is retried, which is
 // safe because the home deduplicates calls by key, until the outcome is recorded on this
-// instance or the time is up.
+// instance or the time is up. A home that stays unknown for half of the time, or for
+// maxUnknownHomeWait, is taken to be gone.
 func (f *Frontend) callHome(ctx context.Context, home string, call jayonce.Call) jayonce.Outcome {
 	if home == f.Incarnation {
 		return f.Home.Do(ctx, call)
 	}
-	deadline := time.Now().Add(call.TimeLeft)
+	started := time.Now()
+	deadline, unknownUntil := started.Add(call.TimeLeft), started.Add(min(call.TimeLeft/2, maxUnknownHomeWait))
 	for {
 		if outcome, ok := f.Home.ArchivedOutcome(ctx, call.Key); ok {
 			f.Log.Info("outcome already recorded", "request", call.Request, "home", home, "run", outcome.Run)
@@ -72,7 +79,8 @@
 		if err == nil {
 			return outcome
 		}
-		if call.TimeLeft = time.Until(deadline); call.TimeLeft <= forwardRetryDelay || ctx.Err() != nil {
+		unknown := !f.Homes.Known(home) && time.Until(unknownUntil) <= forwardRetryDelay
+		if call.TimeLeft = time.Until(deadline); unknown || call.TimeLeft <= forwardRetryDelay || ctx.Err() != nil {
 			f.Log.Info("cannot reach home of key", "request", call.Request, "home", home, "error", err)
 			return f.Home.Lookup(ctx, call.Key)
 		}
--- a/jay/jaycall/options.go
+++ b/jay/jaycall/options.go
@@ -54,6 +54,8 @@
 
 // Homes forwards calls to the home of a key on another instance.
 type Homes interface {
+	// Known reports whether an instance with the given incarnation is a member or listed.
+	Known(incarnation string) bool
 	// Forward sends a call to the instance with the given incarnation and returns its outcome.
 	Forward(incarnation string, call jayonce.Call) (jayonce.Outcome, error)
 }
--- a/jay/jaymesh/forward.go
+++ b/jay/jaymesh/forward.go
@@ -14,6 +14,23 @@
 // the request to it times out.
 const forwardMargin = 200 * time.Millisecond
 
+// Known reports whether the instance with an incarnation is a member or listed.
+func (m *Mesh) Known(incarnation string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
+	known := false
+	err := m.owner.Call(ctx, func(s *state) {
+		for _, seed := range s.view.Seeds() {
+			known = known || seed.Incarnation == incarnation
+		}
+		for _, member := range s.view.Members() {
+			known = known || member.Incarnation == incarnation
+		}
+	})
+	// Without an answer the instance may exist.
+	return known || err != nil
+}
+
 // Forward sends a call once to the instance with an incarnation, the home of its key.
 // After an error the call may be sent again: the home deduplicates calls by key.
 func (m *Mesh) Forward(incarnation string, call jayonce.Call) (jayonce.Outcome, error) {
