--- /dev/null
+++ b/jay/jayroster/staleness_test.go
@@ -0,0 +1,209 @@
+package jayroster_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfield.example/jay/jaylist"
+	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jaypeer"
+	"jayfield.example/jay/jayroster"
+	"jayfield.example/jay/jaystandin"
+	"jayfield.example/jay/jaystore"
+)
+
+const (
+	// drainTime is the time in which an upstream that leaves has to get no new work.
+	drainTime = 2500 * time.Millisecond
+	// storeDelay is the time in which the store answers.
+	storeDelay = 4 * time.Millisecond
+	fastLink   = 125_000_000
+)
+
+// registry is a topic of the store that is polled.
+type registry struct {
+	mu      sync.Mutex
+	records []jaystore.Record
+}
+
+func (r *registry) remove(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records = append(r.records, jaystore.Record{Key: id, Offset: int64(len(r.records))})
+}
+
+func (*registry) Put(context.Context, jaystore.Topic, string, []byte) error { return nil }
+
+func (r *registry) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+	return r.Read(ctx, topic, 0, nil)
+}
+
+func (r *registry) Read(_ context.Context, _ jaystore.Topic, from int64, _ <-chan struct{}) ([]jaystore.Record, int64, error) {
+	time.Sleep(storeDelay)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]jaystore.Record{}, r.records[min(from, int64(len(r.records))):]...), int64(len(r.records)), nil
+}
+
+// registryInstance is an instance that follows the registry.
+type registryInstance struct {
+	host    *jaystandin.Host
+	roster  *jayroster.Roster
+	mu      sync.Mutex
+	removed map[string]time.Time
+	leaving bool
+}
+
+func (i *registryInstance) FillHeartbeat(m *jaymember.Member) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	m.Config, m.Leaving = 1, i.leaving
+}
+
+func (i *registryInstance) Replace(ctx context.Context, records []jaystore.Record, _ int64) {
+	i.Apply(ctx, records)
+}
+
+func (i *registryInstance) Apply(_ context.Context, records []jaystore.Record) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, r := range records {
+		if _, ok := i.removed[r.Key]; !ok {
+			i.removed[r.Key] = time.Now()
+		}
+	}
+}
+
+func (*registryInstance) Unavailable(context.Context, error) {}
+
+func (*registryInstance) Available(context.Context) {}
+
+// registryZone is a zone of instances that follow the registry.
+type registryZone struct {
+	network   *jaystandin.Network
+	registry  *registry
+	instances []*registryInstance
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+}
+
+func newRegistryZone(ctx context.Context, count int) *registryZone {
+	z := &registryZone{network: jaystandin.NewNetwork(), registry: &registry{}}
+	ctx, z.cancel = context.WithCancel(ctx)
+	log := slog.New(slog.DiscardHandler)
+	list := make([]jaystore.Record, 0, count)
+	for n := range count {
+		address := fmt.Sprintf("10.0.0.%d:7000", n+1)
+		i := &registryInstance{host: z.network.Host(address, fastLink), removed: make(map[string]time.Time)}
+		self := jaymember.Member{Name: fmt.Sprint("i", n), Incarnation: fmt.Sprintf("%03d", n), Address: address, Peer: address, Region: "r", Zone: "z", Config: -1}
+		i.roster = jayroster.Start(jayroster.Options{
+			Self: self, Source: i, Writer: z.registry, Key: []byte("0123456789abcdef"), Listener: i.host.Listen(), Log: log,
+			Series: jaymetric.NewExposition(), Client: []jaypeer.ClientOption{jaypeer.WithDialer(i.host)}, Changed: func([]jaymember.Status) {},
+		})
+		value, _ := msgpack.Marshal(jaylist.Instance{
+			Name: self.Name, Sort: jaylist.SortEntry, Incarnation: self.Incarnation, Address: self.Address, Peer: self.Peer,
+			Region: self.Region, Zone: self.Zone, State: jaylist.StateLive,
+		})
+		list = append(list, jaystore.Record{Key: self.Name, Value: value, Offset: int64(n)})
+		z.instances = append(z.instances, i)
+	}
+	for _, i := range z.instances {
+		i.roster.Replace(ctx, list, int64(count))
+		mirror := jaystore.NewMirror(i)
+		reader := i.roster.TopicReader(z.registry, jaystore.TopicUpstreams, mirror, 7*drainTime/10, 36*drainTime/100)
+		follower := jaystore.NewFollower(reader, jaystore.TopicUpstreams, mirror, 250*time.Millisecond, log)
+		z.wait.Go(func() { follower.Run(ctx) })
+	}
+	return z
+}
+
+func (z *registryZone) stop() {
+	z.cancel()
+	z.wait.Wait()
+	for _, i := range z.instances {
+		i.roster.Stop()
+	}
+}
+
+// leave marks an instance as leaving, in an exchange at once.
+func (z *registryZone) leave(ctx context.Context, n int) {
+	i := z.instances[n]
+	i.mu.Lock()
+	i.leaving = true
+	i.mu.Unlock()
+	i.roster.Leave(ctx)
+}
+
+// Guards against an upstream that gets new work after its drain time, since an instance waits for
+// other instances one after the other: each over a connection that is silent, or one whose
+// process is frozen or leaves.
+func TestRegistryIsNeverOlderThanDrainTime(t *testing.T) {
+	const seeds = 3
+	tests := map[string]struct {
+		instances int
+		frozen    []int
+		leaving   int
+	}{
+		"silent connections":                   {8, nil, -1},
+		"silent connections, watcher frozen":   {8, []int{0}, 1},
+		"silent connections, many instances":   {16, nil, -1},
+		"many instances, first frozen":         {16, []int{0}, 1},
+		"many instances, first three frozen":   {16, []int{0, 1, 2}, 3},
+		"silent connections, last one leaving": {8, nil, 7},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				synctest.Test(t, func(t *testing.T) {
+					source := rand.New(rand.NewPCG(seed, 1))
+					z := newRegistryZone(t.Context(), test.instances)
+					defer z.stop()
+					// Each change opens connections for records.
+					for n := range 12 {
+						time.Sleep(750 * time.Millisecond)
+						z.registry.remove(fmt.Sprint("former-", n))
+					}
+					z.network.Silence(0.7, source)
+					time.Sleep(4*time.Second + time.Duration(source.Int64N(int64(2*time.Second))))
+					frozen := make(map[int]bool)
+					for _, n := range test.frozen {
+						z.instances[n].host.Pause(3 * time.Second)
+						frozen[n] = true
+					}
+					if test.leaving >= 0 {
+						go z.leave(t.Context(), test.leaving)
+					}
+					for n := range 6 {
+						time.Sleep(time.Duration(source.Int64N(int64(700 * time.Millisecond))))
+						id, removedAt := fmt.Sprint("upstream-", n), time.Now()
+						z.registry.remove(id)
+						defer z.check(t, seed, id, removedAt, frozen)
+					}
+					time.Sleep(10 * time.Second)
+				})
+			}
+		})
+	}
+}
+
+// check reports the instances that were not frozen and applied a removal later than drainTime.
+func (z *registryZone) check(t *testing.T, seed uint64, id string, removedAt time.Time, frozen map[int]bool) {
+	t.Helper()
+	for n, i := range z.instances {
+		i.mu.Lock()
+		at, ok := i.removed[id]
+		i.mu.Unlock()
+		if took := at.Sub(removedAt); !frozen[n] && (!ok || took > drainTime) {
+			t.Errorf("seed %d: instance %d applied the removal of %s after %s, want at most %s", seed, n, id, took, drainTime)
+		}
+	}
+}
--- a/jay/jaystandin/network.go
+++ b/jay/jaystandin/network.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,11 +16,26 @@
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
+	// open holds the open connections, each by its dialing end.
+	open map[*pacedConn]bool
 }
 
 // NewNetwork returns a network without hosts.
 func NewNetwork() *Network {
-	return &Network{listeners: make(map[string]*memoryListener)}
+	return &Network{listeners: make(map[string]*memoryListener), open: make(map[*pacedConn]bool)}
+}
+
+// Silence makes a share of the open connections silent for good: they stay open, and what is
+// written to either end is lost. New connections work.
+func (n *Network) Silence(share float64, source *rand.Rand) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for near := range n.open {
+		if source.Float64() < share {
+			near.silent.Store(true)
+			near.far.silent.Store(true)
+		}
+	}
 }
 
 // Host has one address and one uplink, which its connections share.
@@ -26,6 +43,29 @@
 	network *Network
 	address string
 	uplink  *uplink
+	// pausedUntil is the time until which the host sends and receives nothing.
+	pausedUntil atomic.Pointer[time.Time]
+}
+
+// Pause makes the host send and receive nothing for some time, like a frozen process. What is
+// sent to it meanwhile arrives afterwards.
+func (h *Host) Pause(d time.Duration) {
+	until := time.Now().Add(d)
+	h.pausedUntil.Store(&until)
+}
+
+// awaitPause waits until the host is no longer paused. It reports false if closed ends the wait.
+func (h *Host) awaitPause(closed <-chan struct{}) bool {
+	until := h.pausedUntil.Load()
+	if until == nil || time.Now().After(*until) {
+		return true
+	}
+	select {
+	case <-time.After(time.Until(*until)):
+		return true
+	case <-closed:
+		return false
+	}
 }
 
 // Host returns a new host whose uplink carries a number of bytes per second.
@@ -50,10 +90,10 @@
 	if !ok {
 		return nil, errors.Errorf("no host listens on %s", address)
 	}
-	near, far := net.Pipe()
+	near, far := newPacedConns(h, l.host)
 	select {
-	case l.conns <- newPacedConn(far, l.host.uplink):
-		return newPacedConn(near, h.uplink), nil
+	case l.conns <- far:
+		return near, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
 	case <-ctx.Done():
@@ -90,10 +130,14 @@
 // pacedConn buffers what is written to it and sends it no faster than its uplink allows.
 type pacedConn struct {
 	net.Conn
-	uplink  *uplink
+	host *Host
+	// far is the other end.
+	far     *pacedConn
 	packets chan []byte
 	closed  chan struct{}
 	once    sync.Once
+	// silent is set if what is sent is lost.
+	silent atomic.Bool
 }
 
 const (
@@ -101,10 +145,21 @@
 	bufferPackets = 8
 )
 
-func newPacedConn(conn net.Conn, u *uplink) *pacedConn {
-	c := &pacedConn{Conn: conn, uplink: u, packets: make(chan []byte, bufferPackets), closed: make(chan struct{})}
-	go c.send()
-	return c
+// newPacedConns returns the two ends of a new connection between hosts.
+func newPacedConns(dialer, listener *Host) (near, far *pacedConn) {
+	a, b := net.Pipe()
+	near, far = newPacedConn(a, dialer), newPacedConn(b, listener)
+	near.far, far.far = far, near
+	dialer.network.mu.Lock()
+	dialer.network.open[near] = true
+	dialer.network.mu.Unlock()
+	go near.send()
+	go far.send()
+	return near, far
+}
+
+func newPacedConn(conn net.Conn, h *Host) *pacedConn {
+	return &pacedConn{Conn: conn, host: h, packets: make(chan []byte, bufferPackets), closed: make(chan struct{})}
 }
 
 func (c *pacedConn) send() {
@@ -112,12 +167,7 @@
 	for {
 		select {
 		case packet := <-c.packets:
-			select {
-			case <-time.After(c.uplink.reserve(len(packet))):
-			case <-c.closed:
-				return
-			}
-			if _, err := c.Conn.Write(packet); err != nil {
+			if !c.transmit(packet) {
 				return
 			}
 		case <-c.closed:
@@ -126,6 +176,23 @@
 	}
 }
 
+// transmit sends a packet to the other end. It reports false if the connection has ended.
+func (c *pacedConn) transmit(packet []byte) bool {
+	select {
+	case <-time.After(c.host.uplink.reserve(len(packet))):
+	case <-c.closed:
+		return false
+	}
+	if !c.host.awaitPause(c.closed) || !c.far.host.awaitPause(c.closed) {
+		return false
+	}
+	if c.silent.Load() {
+		return true
+	}
+	_, err := c.Conn.Write(packet)
+	return err == nil
+}
+
 // Write buffers data to be sent.
 func (c *pacedConn) Write(p []byte) (int, error) {
 	for written := 0; written < len(p); written += packetBytes {
@@ -141,7 +208,12 @@
 
 // Close ends the connection; what is still buffered is lost.
 func (c *pacedConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
+	c.once.Do(func() {
+		close(c.closed)
+		c.host.network.mu.Lock()
+		delete(c.host.network.open, c)
+		c.host.network.mu.Unlock()
+	})
 	return errors.WithStack(c.Conn.Close())
 }
 
