--- a/jay/jaypeer/client.go
+++ b/jay/jaypeer/client.go
@@ -13,6 +13,13 @@
 
 const (
 	dialBound = 2 * time.Second
+	// connectBound bounds the time to connect, the handshake included; a shorter bound of the
+	// request goes before it.
+	connectBound = 5 * time.Second
+	// maxIdle is the longest time for which a connection without requests is used again. It is
+	// shorter than the time after which an instance has to be up to date again once connections
+	// have become silent.
+	maxIdle = 3 * time.Second
 	// SilentBound is how long a request may wait for its reply before the connection
 	// counts as silent, or for a further part of a reply that has begun to arrive; calls
 	// that run work have a bound of their own.
@@ -40,23 +47,26 @@
 	address string
 	key     []byte
 	dialer  Dialer
-	mu      sync.Mutex
-	link    *link
+	// connecting is held while a connection is made.
+	connecting chan struct{}
+	mu         sync.Mutex
+	link       *link
 }
 
 // NewClient returns a client of the instance at an address such as 127.0.0.1:7300.
 func NewClient(address string, key []byte, options ...ClientOption) *Client {
-	c := &Client{address: address, key: key, dialer: &net.Dialer{Timeout: dialBound}}
+	c := &Client{address: address, key: key, dialer: &net.Dialer{Timeout: dialBound}, connecting: make(chan struct{}, 1)}
 	for _, option := range options {
 		option(c)
 	}
 	return c
 }
 
-// Ask sends a request and returns the body of its reply. KindUnreachable and
-// KindBusy say that the request was not sent.
+// Ask sends a request and returns the body of its reply. The bound limits the time to connect
+// and then the time without any byte of a reply. KindUnreachable and KindBusy mean that the
+// request was not sent.
 func (c *Client) Ask(ctx context.Context, topic Topic, body []byte, bound time.Duration) ([]byte, error) {
-	l, err := c.connect(ctx)
+	l, err := c.connect(ctx, min(bound, connectBound))
 	if err != nil {
 		return nil, err
 	}
@@ -72,22 +82,46 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context) (*link, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.link != nil && c.link.alive() {
-		return c.link, nil
+func (c *Client) connect(ctx context.Context, bound time.Duration) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	select {
+	case c.connecting <- struct{}{}:
+		defer func() { <-c.connecting }()
+	case <-ctx.Done():
+		return nil, jayerror.Wrap("dial", KindUnreachable, ctx.Err())
+	}
+	if l := c.reusable(); l != nil {
+		return l, nil
 	}
 	conn, err := c.dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, jayerror.Wrap("dial", KindUnreachable, err)
 	}
-	if err := handshake(conn, c.key, sideDialer); err != nil {
+	deadline, _ := ctx.Deadline()
+	if err := handshake(conn, c.key, sideDialer, deadline); err != nil {
 		_ = conn.Close()
 		return nil, jayerror.Wrap("dial", KindUnreachable, err)
 	}
-	c.link = newLink(conn)
-	return c.link, nil
+	l := newLink(conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.link = l
+	return l, nil
+}
+
+// reusable returns the current connection, or nil if there is none that is known to work.
+func (c *Client) reusable() *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.link == nil || !c.link.alive():
+		return nil
+	case c.link.idle() > maxIdle:
+		go c.link.group.Stop()
+		return nil
+	}
+	return c.link
 }
 
 // link is one connection with its waiting requests.
@@ -98,6 +132,7 @@
 	mu     sync.Mutex
 	next   uint64
 	waits  map[uint64]chan Envelope
+	usedAt time.Time
 	// receiving is set while a part of a frame has arrived.
 	receiving atomic.Bool
 }
@@ -108,6 +143,7 @@
 		group:  jaytask.NewGroup(),
 		writes: make(chan Envelope, maxPending),
 		waits:  make(map[uint64]chan Envelope),
+		usedAt: time.Now(),
 	}
 	l.group.Go(l.read)
 	l.group.Go(l.write)
@@ -135,6 +171,16 @@
 	return l.group.Context().Err() == nil
 }
 
+// idle returns the time since the latest request, 0 while one waits for its reply.
+func (l *link) idle() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waits) > 0 {
+		return 0
+	}
+	return time.Since(l.usedAt)
+}
+
 func (l *link) ask(ctx context.Context, topic Topic, body []byte, bound time.Duration) ([]byte, error) {
 	number, wait, err := l.register()
 	if err != nil {
@@ -208,6 +254,7 @@
 		return 0, nil, jayerror.New("ask", KindBusy, "too many requests wait for the instance")
 	}
 	l.next++
+	l.usedAt = time.Now()
 	wait := make(chan Envelope, 1)
 	l.waits[l.next] = wait
 	return l.next, wait, nil
--- a/jay/jaypeer/handshake.go
+++ b/jay/jaypeer/handshake.go
@@ -36,9 +36,9 @@
 	return sideDialer
 }
 
-// handshake proves the shared key to the other end and checks its proof.
-func handshake(conn net.Conn, key []byte, own side) error {
-	if err := conn.SetDeadline(time.Now().Add(helloBound)); err != nil {
+// handshake proves the shared key to the other end and checks its proof before a deadline.
+func handshake(conn net.Conn, key []byte, own side, deadline time.Time) error {
+	if err := conn.SetDeadline(deadline); err != nil {
 		return jayerror.Wrap("handshake", KindAuth, err)
 	}
 	mine := hello{Version: Version, Nonce: make([]byte, nonceLength)}
--- a/jay/jaypeer/server.go
+++ b/jay/jaypeer/server.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -80,7 +81,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer conn.Close() //nolint:errcheck // The connection is given up.
-	if err := handshake(conn, s.key, sideListener); err != nil {
+	if err := handshake(conn, s.key, sideListener, time.Now().Add(helloBound)); err != nil {
 		s.refuse(conn, err)
 		return
 	}
