--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -213,7 +213,7 @@
 	}
 	e.roster = jayroster.Start(jayroster.Options{
 		Self: e.self, Source: e, Writer: store, Key: []byte(e.settings.PeerKey),
-		Listener: listeners[e.settings.Peer], Log: e.log, Series: e.series, Changed: e.membersChanged,
+		Listener: listeners[e.settings.Peer], Log: e.log, Series: e.series, Changed: e.membersChanged, Reported: e.placer.updateReport,
 	})
 	return nil
 }
@@ -248,7 +248,7 @@
 	}
 	e.budgets.setMembers(active)
 	e.checkPolicyLag(members)
-	e.placer.updateMembers(members, lowest)
+	e.placer.setTrials(lowest)
 }
 
 // checkPolicyLag reads the policy from the store if another instance has had a newer
--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -233,26 +233,25 @@
 	s.table.Configure(s.fleet.Available())
 }
 
-// updateMembers processes the work, cached prefixes, send tallies and suspected prompt parts that the
-// other instances report. If trials is set, this instance tries parts after their quarantine.
-func (p *placer) updateMembers(members []jaymember.Status, trials bool) {
-	now := time.Now()
-	work, prefixes, tallies := jayroster.Work(now, members), jayroster.CachedPrefixes(members), jayroster.Tallies(now, members)
+// updateReport processes the work, cached prefixes, send tallies and suspected prompt parts that the
+// other instances report.
+func (p *placer) updateReport(report jayroster.Report) {
 	p.send(context.Background(), func(s *placerState) {
-		s.table.SetPeerWork(work)
-		s.table.MergePrefixes(now, prefixes)
-		for _, id := range s.table.MergeTallies(now, tallies) {
+		now := time.Now()
+		s.table.SetPeerWork(report.Work)
+		s.table.MergePrefixes(now, report.Prefixes)
+		for _, id := range s.table.MergeTallies(now, report.Tallies) {
 			p.log.Info("upstream ejected", "upstream", id, "reason", "most requests of all instances to it fail")
 		}
-		s.quarantine.SetTrials(trials)
-		for _, m := range members {
-			if !m.Silent {
-				s.quarantine.Merge(now, m.ReceivedAt, m.Suspects)
-			}
-		}
+		s.quarantine.Merge(now, report.At, report.Suspects)
 	})
 }
 
+// setTrials sets whether this instance tries prompt parts after their quarantine.
+func (p *placer) setTrials(trials bool) {
+	p.send(context.Background(), func(s *placerState) { s.quarantine.SetTrials(trials) })
+}
+
 // fillWork fills in this instance's own work, cached prefixes, send tallies and suspected prompt parts.
 func (p *placer) fillWork(ctx context.Context, member *jaymember.Member) {
 	err := p.owner.Call(ctx, func(s *placerState) {
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -2,7 +2,10 @@
 // by gossip. No safety rule depends on it.
 package jaymember
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Member is the heartbeat of an entry instance: the state that it reports about itself.
 type Member struct {
@@ -23,7 +26,7 @@
 	// Demand is the demand of callers at the instance, by model.
 	Demand map[string]Demand `msgpack:"d" json:"demand"`
 	// Work is the instance's own work at each upstream, if reported.
-	Work map[string]Work `msgpack:"k,omitempty" json:"work,omitempty"`
+	Work []UpstreamWork `msgpack:"k,omitempty" json:"work,omitempty"`
 	// CachedPrefixes lists the prompt prefixes that engines recently prefilled or fetched for
 	// the instance, if reported.
 	CachedPrefixes []CachedPrefix `msgpack:"e,omitempty" json:"read,omitempty"`
@@ -52,8 +55,16 @@
 	Age time.Duration `msgpack:"a" json:"age"`
 }
 
+// UpstreamWork is the work at an upstream, identified by the hash of its ID.
+type UpstreamWork struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Upstream uint32
+	Work     Work
+}
+
 // Work is one instance's work at an upstream.
 type Work struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	// Running is the number of requests. PrefillTokens is the number of prompt tokens sent but
 	// not prefilled yet, and ShortPrefillTokens the part of them that belongs to short
 	// prefills, which engines run first.
@@ -62,6 +73,19 @@
 	ShortPrefillTokens int `msgpack:"s" json:"short"`
 }
 
+// IsZero reports whether there is no work.
+func (w Work) IsZero() bool {
+	return w == Work{}
+}
+
+// Minus returns the difference of two amounts of work, at least zero in each part.
+func (w Work) Minus(other Work) Work {
+	return Work{
+		Running: max(0, w.Running-other.Running), PrefillTokens: max(0, w.PrefillTokens-other.PrefillTokens),
+		ShortPrefillTokens: max(0, w.ShortPrefillTokens-other.ShortPrefillTokens),
+	}
+}
+
 // Plus returns the sum of two instances' work.
 func (w Work) Plus(other Work) Work {
 	return Work{Running: w.Running + other.Running, PrefillTokens: w.PrefillTokens + other.PrefillTokens, ShortPrefillTokens: w.ShortPrefillTokens + other.ShortPrefillTokens}
@@ -69,15 +93,17 @@
 
 // CachedPrefix is a prompt prefix that an engine has cached; both fields are hashes of names.
 type CachedPrefix struct {
-	Upstream uint32 `msgpack:"u"`
-	Part     uint32 `msgpack:"p"`
+	_msgpack struct{} `msgpack:",as_array"`
+	Upstream uint32   `msgpack:"u"`
+	Part     uint32   `msgpack:"p"`
 }
 
 // Tally counts the outcomes of recent sends to an upstream, identified by the hash of its ID.
 type Tally struct {
-	Upstream uint32 `msgpack:"u"`
-	Served   int    `msgpack:"s"`
-	Failed   int    `msgpack:"f"`
+	_msgpack struct{} `msgpack:",as_array"`
+	Upstream uint32   `msgpack:"u"`
+	Served   int      `msgpack:"s"`
+	Failed   int      `msgpack:"f"`
 }
 
 // Suspect is a prompt part with a request in progress while an engine crashed. Times are
@@ -105,6 +131,45 @@
 	Age      time.Duration `msgpack:"a" json:"age"`
 }
 
+// Aged returns the suspect as reported a time later.
+func (s Suspect) Aged(by time.Duration) Suspect {
+	crashes := make([]Crash, len(s.Crashes))
+	for i, c := range s.Crashes {
+		crashes[i] = Crash{Upstream: c.Upstream, Age: c.Age + by}
+	}
+	s.Crashes = crashes
+	if s.Served {
+		s.ServedAge += by
+	}
+	if s.Quarantined {
+		s.QuarantinedFor += by
+		s.Remaining -= by
+	}
+	return s
+}
+
+// Plus returns what two instances report about a prompt part, of the same age.
+func (s Suspect) Plus(other Suspect) Suspect {
+	s.Depth = max(s.Depth, other.Depth)
+	for _, c := range other.Crashes {
+		if !slices.ContainsFunc(s.Crashes, func(known Crash) bool { return known.Upstream == c.Upstream }) {
+			s.Crashes = append(s.Crashes, c)
+		}
+	}
+	if other.Served && (!s.Served || other.ServedAge < s.ServedAge) {
+		s.Served, s.ServedAge = true, other.ServedAge
+	}
+	if other.Quarantined && (!s.Quarantined || other.Remaining > s.Remaining) {
+		s.Quarantined, s.QuarantinedFor, s.Remaining = true, other.QuarantinedFor, other.Remaining
+	}
+	return s
+}
+
+// Minus returns the difference of two tallies of an upstream, at least zero in each part.
+func (t Tally) Minus(other Tally) Tally {
+	return Tally{Upstream: t.Upstream, Served: max(0, t.Served-other.Served), Failed: max(0, t.Failed-other.Failed)}
+}
+
 // Plus returns the sum of two instances' tallies of an upstream.
 func (t Tally) Plus(other Tally) Tally {
 	return Tally{Upstream: t.Upstream, Served: t.Served + other.Served, Failed: t.Failed + other.Failed}
--- a/jay/jaymember/view.go
+++ b/jay/jaymember/view.go
@@ -22,7 +22,7 @@
 type View struct {
 	self    Member
 	members map[string]*Status
-	// seeds are the listed instances that had no member in the view when the list was applied.
+	// seeds are the listed instances that are no member of the view yet.
 	seeds []jaylist.Instance
 }
 
@@ -40,8 +40,7 @@
 	}
 	known, ok := v.members[member.Incarnation]
 	if !ok {
-		known = &Status{}
-		v.members[member.Incarnation] = known
+		known = v.add(member.Incarnation)
 	} else if member.Sequence <= known.Sequence {
 		return
 	}
@@ -51,6 +50,47 @@
 	known.Silent = false
 }
 
+// Vouch applies what another instance reports about a member, and adds the member if it is alive
+// and not known. A member is alive as long as any instance reports so.
+func (v *View) Vouch(now time.Time, member Member, alive bool) {
+	known, ok := v.members[member.Incarnation]
+	switch {
+	case member.Incarnation == v.self.Incarnation || member.Incarnation == "":
+		return
+	case !ok && !alive:
+		return
+	case !ok:
+		known = v.add(member.Incarnation)
+		known.Member = member
+	}
+	known.Leaving = known.Leaving || member.Leaving
+	known.Config = max(known.Config, member.Config)
+	if alive {
+		known.ReceivedAt = now
+		known.Silent = false
+	}
+}
+
+// Member returns the status of a member, and whether it is known.
+func (v *View) Member(incarnation string) (Status, bool) {
+	known, ok := v.members[incarnation]
+	if !ok {
+		return Status{}, false
+	}
+	return *known, true
+}
+
+// add adds a member, which ends its time as a seed.
+func (v *View) add(incarnation string) *Status {
+	status := &Status{}
+	v.members[incarnation] = status
+	v.seeds = slices.DeleteFunc(v.seeds, func(seed jaylist.Instance) bool {
+		status.Listed = status.Listed || seed.Incarnation == incarnation
+		return seed.Incarnation == incarnation
+	})
+	return status
+}
+
 // List applies the platform's list of entry instances.
 func (v *View) List(list []jaylist.Instance) {
 	wasListed := make(map[string]bool, len(v.members))
@@ -69,6 +109,11 @@
 	}
 }
 
+// Len returns the number of other members.
+func (v *View) Len() int {
+	return len(v.members)
+}
+
 // Members returns the other members, ordered by name and incarnation.
 func (v *View) Members() []Status {
 	list := make([]Status, 0, len(v.members))
@@ -81,7 +126,7 @@
 	return list
 }
 
-// Seeds returns the listed instances that had no member in the view when the list was applied.
+// Seeds returns the listed instances that are no member of the view yet.
 func (v *View) Seeds() []jaylist.Instance {
 	return v.seeds
 }
--- a/jay/jayplace/place_test.go
+++ b/jay/jayplace/place_test.go
@@ -180,7 +180,7 @@
 			}
 		}, nil, "far"},
 		"counts the work of other instances": {func(table *jayplace.Table) {
-			table.SetPeerWork(map[string]jaymember.Work{"near": {Running: 20}})
+			table.SetPeerWork(map[uint32]jaymember.Work{jayplace.UpstreamHash("near"): {Running: 20}})
 		}, nil, "far"},
 		"uses an ejected upstream if there is no other": {func(table *jayplace.Table) {
 			table.Start("near")
--- a/jay/jayplace/track.go
+++ b/jay/jayplace/track.go
@@ -32,19 +32,19 @@
 	}
 }
 
-// SetPeerWork records the work of the other instances, by upstream.
-func (t *Table) SetPeerWork(work map[string]jaymember.Work) {
-	for id, u := range t.upstreams {
-		u.peers = work[id]
+// SetPeerWork records the work of the other instances, by the hash of the upstream's ID.
+func (t *Table) SetPeerWork(work map[uint32]jaymember.Work) {
+	for _, u := range t.upstreams {
+		u.peers = work[u.idHash32]
 	}
 }
 
 // OwnWork returns this instance's own work by upstream, to be gossiped to other instances.
-func (t *Table) OwnWork() map[string]jaymember.Work {
-	own := make(map[string]jaymember.Work, len(t.upstreams))
-	for id, u := range t.upstreams {
-		if u.own != (jaymember.Work{}) {
-			own[id] = u.own
+func (t *Table) OwnWork() []jaymember.UpstreamWork {
+	var own []jaymember.UpstreamWork
+	for _, u := range t.upstreams {
+		if !u.own.IsZero() {
+			own = append(own, jaymember.UpstreamWork{Upstream: u.idHash32, Work: u.own})
 		}
 	}
 	return own
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -7,15 +7,47 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"jayfield.example/jay/jayerror"
-	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jaypeer"
 )
 
-// tick updates this instance's heartbeat, starts an exchange with each contact that is due
-// and passes the members to the changed callback.
+// digest is the message that two instances exchange.
+type digest struct {
+	// Incarnation and Zone are those of the sender, To is the incarnation of the instance for
+	// which the digest was made.
+	Incarnation string `msgpack:"i"`
+	Zone        string `msgpack:"z"`
+	To          string `msgpack:"o,omitempty"`
+	// Self is the heartbeat of the sender.
+	Self jaymember.Member `msgpack:"s"`
+	// Version is the version of the sender's ledger up to which Changes lead, Ack that of the
+	// receiver's ledger up to which the sender has merged its changes.
+	Version uint64         `msgpack:"v,omitempty"`
+	Ack     uint64         `msgpack:"a,omitempty"`
+	Changes []memberChange `msgpack:"c,omitempty"`
+	// WantSums asks for the sums of the receiver's zone.
+	WantSums bool  `msgpack:"w,omitempty"`
+	Sums     *sums `msgpack:"u,omitempty"`
+}
+
+// contact is an instance to exchange with.
+type contact struct {
+	incarnation, peer, zone string
+	wantSums                bool
+}
+
+// tick starts a round of exchanges if one is due.
 func (r *Roster) tick(s *state, now time.Time) {
 	s.ticks++
+	if !s.partialMesh() || s.ticks%partialTicks == 0 {
+		r.exchangeAll(s, now)
+	}
+}
+
+// exchangeAll updates this instance's heartbeat, starts an exchange with each contact that is due
+// and passes on the members and what they report.
+func (r *Roster) exchangeAll(s *state, now time.Time) {
+	s.rounds++
 	s.view.UpdateSelf(func(self *jaymember.Member) {
 		r.source.FillHeartbeat(self)
 		self.Mirrors = r.mirrors.Positions(now)
@@ -23,200 +55,298 @@
 	s.view.Tick(now)
 	members := s.view.Members()
 	r.others.Store(&members)
-	for address, zone := range s.contacts(members) {
-		r.exchange(s, address, zone)
+	if s.partialMesh() {
+		s.updateLedger(now, members)
+		s.announceOwn(now)
+	}
+	s.prune(now)
+	candidates := s.candidates(members)
+	for _, c := range s.contacts(members, candidates) {
+		r.exchange(s, now, c)
 	}
-	r.electWatcher(s.view.Self(), members)
+	r.updateRank(s.view.Self(), len(members), candidates)
 	r.changed(members)
+	if r.reported != nil {
+		r.reported(s.report(now))
+	}
+}
+
+// announceOwn reports the prompt prefixes that this instance announces itself.
+func (s *state) announceOwn(now time.Time) {
+	for _, prefix := range s.view.Self().CachedPrefixes {
+		s.ledger.announce(now, prefix, true)
+	}
+}
+
+// contacts returns the instances to exchange with in this round.
+func (s *state) contacts(members []jaymember.Status, candidates []candidate) []contact {
+	if s.partialMesh() {
+		return s.hubContacts(candidates)
+	}
+	return s.meshContacts(members, candidates)
 }
 
-// contacts returns the addresses of the instances to exchange with in this tick, with
-// their zones. Of two instances that are members of each other's view, only the one with
-// the lower incarnation sends requests, since the reply carries a digest too. A silent
-// member is contacted whatever its incarnation, unless it has been removed from the list.
-func (s *state) contacts(members []jaymember.Status) map[string]string {
+// meshContacts returns the contacts in a full mesh. Of two members of each other's view, the one
+// with the higher incarnation sends the request, since the watcher has the lowest and only a
+// reply tells how old its positions are at most. The watcher, silent members and seeds are
+// contacted by all.
+func (s *state) meshContacts(members []jaymember.Status, candidates []candidate) []contact {
 	self := s.view.Self()
-	chosen, fullMesh := members, !s.partialMesh(members)
-	if !fullMesh {
-		chosen = jaymember.Contacts(self, members)
-	}
-	contacts := make(map[string]string)
-	for _, m := range chosen {
-		interval := interZoneTicks
-		if m.Zone == self.Zone {
-			interval = intraZoneTicks
-		}
-		if m.Peer == "" || m.Unlisted && m.Silent || !fullMesh && s.ticks%interval != 0 {
+	watcher := ""
+	if hubs, _ := hubsOf(self.Zone, candidates); len(hubs) > 0 {
+		watcher = hubs[0].incarnation
+	}
+	var contacts []contact
+	for _, m := range members {
+		if m.Peer == "" || m.Unlisted && m.Silent {
 			continue
 		}
-		if self.Incarnation < m.Incarnation || m.Silent {
-			contacts[m.Peer] = m.Zone
+		if self.Incarnation > m.Incarnation || m.Silent || m.Incarnation == watcher {
+			contacts = append(contacts, contact{incarnation: m.Incarnation, peer: m.Peer, zone: m.Zone})
 		}
 	}
-	for _, seed := range s.seeds(members) {
-		contacts[seed.Peer] = seed.Zone
+	for _, seed := range s.view.Seeds() {
+		contacts = append(contacts, contact{incarnation: seed.Incarnation, peer: seed.Peer, zone: seed.Zone})
 	}
 	return contacts
 }
 
-// partialMesh reports whether there are too many instances for a full mesh, so that
-// heartbeats are forwarded. It also counts the store's list, which is the same for all
-// instances, because their views of the members differ at first.
-func (s *state) partialMesh(members []jaymember.Status) bool {
-	return max(len(members), len(s.listed)-1) > maxFullMesh
-}
-
-// seeds returns the listed instances to contact that have sent no heartbeat yet: in a
-// full mesh all of them, since heartbeats are not forwarded there; in a partial mesh
-// those of this instance's zone, and up to seedsPerZone of each other zone without a
-// known live member.
-func (s *state) seeds(members []jaymember.Status) []jaylist.Instance {
-	known, zones, partialMesh := make(map[string]bool), make(map[string]int), s.partialMesh(members)
-	for _, m := range members {
-		known[m.Incarnation] = true
-		if !m.Silent {
-			zones[m.Zone] = seedsPerZone
+// hubContacts returns the contacts in a partial mesh: the hubs of the own zone and, for a hub, one
+// hub of each other zone whose name is greater. Each round includes the first hub, which supplies the
+// sums of the zone.
+func (s *state) hubContacts(candidates []candidate) []contact {
+	self := s.view.Self()
+	hubs, suspects := hubsOf(self.Zone, candidates)
+	rank := rankOf(self.Incarnation, hubs)
+	var contacts []contact
+	add := func(c candidate, wantSums bool) {
+		contacts = append(contacts, contact{incarnation: c.incarnation, peer: c.peer, zone: c.zone, wantSums: wantSums})
+	}
+	for n, c := range hubs[:rank] {
+		isHub, first := rank < len(hubs), n == 0
+		if isHub || first || s.rounds%secondaryRounds == 0 {
+			add(c, !isHub && first)
 		}
 	}
-	var seeds []jaylist.Instance
-	for _, seed := range s.view.Seeds() {
-		sameZone := seed.Zone == s.view.Self().Zone
-		if known[seed.Incarnation] || partialMesh && !sameZone && zones[seed.Zone] >= seedsPerZone {
+	retry := s.rounds%suspectRounds == 0
+	if retry {
+		for _, c := range suspects {
+			add(c, false)
+		}
+	}
+	if rank == len(hubs) {
+		return contacts
+	}
+	for _, zone := range zonesOf(candidates, self.Zone) {
+		if zone < self.Zone {
 			continue
 		}
-		zones[seed.Zone]++
-		seeds = append(seeds, seed)
+		remote, silent := hubsOf(zone, candidates)
+		if len(remote) > 0 {
+			add(remote[min(rank, len(remote)-1)], false)
+		}
+		if retry && len(silent) > 0 {
+			add(silent[0], false)
+		}
 	}
-	return seeds
+	return contacts
 }
 
-// seedsPerZone is the number of listed instances of another zone that are contacted
-// in one tick while no live member of that zone is known.
-const seedsPerZone = 2
-
 // exchange sends a digest to one instance and merges its reply, in a separate goroutine,
 // unless an exchange with it is in flight.
-func (r *Roster) exchange(s *state, address, zone string) {
-	if s.inFlight[address] {
+func (r *Roster) exchange(s *state, now time.Time, c contact) {
+	p, ok := s.peers[c.peer]
+	if !ok {
+		p = &peer{}
+		s.peers[c.peer] = p
+	}
+	if !p.sentAt.IsZero() {
 		return
 	}
-	body, err := s.encodeDigest(zone)
+	body, err := encode(s.request(now, c))
 	if err != nil {
 		r.log.Error("digest not encoded", "error", err)
 		return
 	}
-	client := r.client(address, noTopic)
-	s.inFlight[address] = true
+	client := r.client(c.peer, noTopic)
+	p.sentAt = now
 	r.group.Go(func(ctx context.Context) {
-		reply, err := client.Ask(ctx, jaypeer.TopicRoster, body, jaypeer.SilentBound)
+		reply, err := client.Ask(ctx, jaypeer.TopicRoster, body, exchangeBound)
+		var received digest
+		if err == nil {
+			err = msgpack.Unmarshal(reply, &received)
+		}
 		if err != nil {
-			r.log.Debug("instance does not answer", "address", address, "error", err)
+			r.log.Debug("instance does not answer", "address", c.peer, "error", err)
 		}
 		sendErr := r.owner.Send(ctx, func(s *state) {
-			delete(s.inFlight, address)
+			p.sentAt, p.failed = time.Time{}, err != nil
 			if err == nil {
-				r.mergeReply(s, address, reply)
+				r.mergeReply(s, received, now)
 			}
 		})
 		if sendErr != nil {
-			r.log.Debug("reply not merged", "address", address, "error", sendErr)
+			r.log.Debug("reply not merged", "address", c.peer, "error", sendErr)
 		}
 	})
 }
 
-func (r *Roster) mergeReply(s *state, address string, reply []byte) {
-	var received digest
-	if err := msgpack.Unmarshal(reply, &received); err != nil {
-		r.log.Warn("digest not decoded", "address", address, "error", err)
-		return
+// mergeReply merges the reply to a request that was sent at a point in time.
+func (r *Roster) mergeReply(s *state, d digest, sentAt time.Time) {
+	s.merge(time.Now(), d)
+	if d.To == s.view.Self().Incarnation {
+		s.source(d.Incarnation).acked = d.Ack
+	}
+	if d.Zone == s.view.Self().Zone {
+		s.positions[d.Incarnation] = position{peer: d.Self.Peer, mirrors: d.Self.Mirrors, sentAt: sentAt}
+		r.positions.set(s.positions)
 	}
-	s.merge(received)
 }
 
-// merge applies the heartbeats of a digest and records which of them came directly from
-// another zone.
-func (s *state) merge(d digest) {
-	now := time.Now()
-	for _, m := range d.Heartbeats {
-		s.view.Merge(now, m)
-		if d.Zone != s.view.Self().Zone {
-			s.direct[m.Incarnation] = true
-		} else {
-			delete(s.direct, m.Incarnation)
+// merge applies a digest.
+func (s *state) merge(now time.Time, d digest) {
+	self := s.view.Self()
+	if d.Incarnation == self.Incarnation || d.Self.Incarnation != d.Incarnation {
+		return
+	}
+	before, _ := s.view.Member(d.Incarnation)
+	s.view.Merge(now, d.Self)
+	if m, ok := s.view.Member(d.Incarnation); ok && m.Sequence > before.Sequence {
+		s.directAt[d.Incarnation] = now
+		if s.partialMesh() && d.Zone == self.Zone {
+			s.ledger.update(m.Member, true)
 		}
 	}
+	s.announced = append(s.announced, d.Self.CachedPrefixes...)
+	for _, prefix := range d.Self.CachedPrefixes {
+		s.ledger.announce(now, prefix, d.Zone == self.Zone)
+	}
+	s.mergeChanges(now, d)
+	s.mergeSums(now, d)
 }
 
-// encodeDigest returns the encoded digest for an instance of a zone. It holds this
-// instance's heartbeat. In a partial mesh it also holds, for this instance's zone, the
-// heartbeats that came directly from other zones and, for other zones, the heartbeats of
-// this instance's zone; forwarded heartbeats and, for other zones, this instance's own are
-// then sent without zone data.
-func (s *state) encodeDigest(zone string) ([]byte, error) {
-	self := s.view.Self()
-	d := digest{Zone: self.Zone, Heartbeats: []jaymember.Member{self}}
-	members := s.view.Members()
-	if s.partialMesh(members) {
-		sameZone := zone == self.Zone
-		if !sameZone {
-			d.Heartbeats[0] = withoutZoneData(self)
-		}
-		for _, m := range members {
-			if !m.Silent && (sameZone && s.direct[m.Incarnation] || !sameZone && m.Zone == self.Zone) {
-				d.Heartbeats = append(d.Heartbeats, withoutZoneData(m.Member))
+// mergeChanges applies the changes of members in a digest, and confirms all members that its
+// sender reports to be alive.
+func (s *state) mergeChanges(now time.Time, d digest) {
+	src := s.source(d.Incarnation)
+	src.at = now
+	if d.Version >= src.version {
+		src.version = d.Version
+		for _, c := range d.Changes {
+			if !src.apply(c) {
+				// Everything is requested again.
+				src.version = 0
 			}
 		}
 	}
-	data, err := msgpack.Marshal(d)
-	if err != nil {
-		return nil, jayerror.Wrap("exchange", KindFormat, err)
+	for _, m := range src.members {
+		s.view.Vouch(now, m.identity.member(m.state), m.state.Alive)
+		if zone := m.identity.Zone; m.state.Alive && zone == d.Zone && zone != s.view.Self().Zone {
+			s.zoneAt[m.identity.Incarnation] = now
+		}
 	}
-	return data, nil
 }
 
-// withoutZoneData returns a heartbeat without the fields that are used only within a zone.
-func withoutZoneData(m jaymember.Member) jaymember.Member {
-	m.Work, m.Mirrors = nil, nil
-	return m
+// apply applies a change. It reports false if the member is not known.
+func (src *source) apply(c memberChange) bool {
+	if c.Identity != nil {
+		src.members[c.Number] = &reportedMember{identity: *c.Identity, state: c.State}
+		return true
+	}
+	m, ok := src.members[c.Number]
+	if ok {
+		m.state = c.State
+	}
+	return ok
 }
 
-// Work returns the sum of the work that other instances report, by upstream.
-func Work(now time.Time, members []jaymember.Status) map[string]jaymember.Work {
-	sum := make(map[string]jaymember.Work)
-	for _, m := range members {
-		if m.Silent || now.Sub(m.ReceivedAt) > heartbeatTTL {
-			continue
-		}
-		for id, w := range m.Work {
-			sum[id] = sum[id].Plus(w)
-		}
+func (s *state) mergeSums(now time.Time, d digest) {
+	if d.Sums == nil {
+		return
+	}
+	s.announced = append(s.announced, d.Sums.Prefixes...)
+	if d.Zone == s.view.Self().Zone {
+		s.hubSums = &receivedSums{at: now, sums: *d.Sums}
+		return
+	}
+	s.zoneSums[d.Zone] = receivedSums{at: now, sums: *d.Sums}
+	for _, prefix := range d.Sums.Prefixes {
+		s.ledger.announce(now, prefix, false)
 	}
-	return sum
 }
 
-// Tallies returns the sums of the tallies that other instances report, by the hash of the
-// upstream's ID.
-func Tallies(now time.Time, members []jaymember.Status) map[uint32]jaymember.Tally {
-	sums := make(map[uint32]jaymember.Tally)
-	for _, m := range members {
-		if m.Silent || now.Sub(m.ReceivedAt) > heartbeatTTL {
-			continue
-		}
-		for _, t := range m.Tallies {
-			sums[t.Upstream] = t.Plus(sums[t.Upstream])
-		}
+// request returns the digest to send to a contact.
+func (s *state) request(now time.Time, c contact) digest {
+	self, src := s.view.Self(), s.source(c.incarnation)
+	d := digest{Incarnation: self.Incarnation, Zone: self.Zone, To: c.incarnation, Self: self, Ack: src.version, WantSums: c.wantSums}
+	if s.partialMesh() && c.zone != self.Zone {
+		s.addZone(now, &d, src.acked)
 	}
-	return sums
+	return d
 }
 
-// CachedPrefixes returns the prompt prefixes that other instances announce as cached by an
-// engine.
-func CachedPrefixes(members []jaymember.Status) []jaymember.CachedPrefix {
-	var prefixes []jaymember.CachedPrefix
-	for _, m := range members {
-		if !m.Silent {
-			prefixes = append(prefixes, m.CachedPrefixes...)
+// reply returns the reply to a digest.
+func (s *state) reply(now time.Time, received digest) digest {
+	self, src := s.view.Self(), s.source(received.Incarnation)
+	d := digest{Incarnation: self.Incarnation, Zone: self.Zone, To: received.Incarnation, Self: self, Ack: src.version}
+	acked := uint64(0)
+	if received.To == self.Incarnation {
+		acked = received.Ack
+	}
+	switch {
+	case !s.partialMesh():
+	case received.Zone != self.Zone:
+		s.addZone(now, &d, acked)
+	default:
+		d.Version, d.Changes = s.ledger.version, s.ledger.changesSince(acked, "")
+		if received.WantSums {
+			t := s.zoneTotal(now, true)
+			// The sums of other zones contain nothing of the receiver.
+			others := newTotal()
+			s.addOtherZones(now, others)
+			d.Sums = t.sums(received.Self)
+			d.Sums.Tallies = append(d.Sums.Tallies, others.sums(jaymember.Member{}).Tallies...)
+			d.Sums.Suspects = append(d.Sums.Suspects, others.suspectList()...)
+			d.Sums.Prefixes = s.ledger.prefixesSince(acked, false)
+			d.Self = withoutReports(d.Self)
 		}
 	}
-	return prefixes
+	return d
+}
+
+// addZone adds what another zone receives about this one after an acknowledged version.
+func (s *state) addZone(now time.Time, d *digest, acked uint64) {
+	d.Self = withoutReports(d.Self)
+	d.Self.Mirrors = nil
+	d.Version, d.Changes = s.ledger.version, s.ledger.changesSince(acked, d.Zone)
+	d.Sums = s.zoneTotal(now, true).sums(jaymember.Member{})
+	d.Sums.Work = nil
+	d.Sums.Prefixes = s.ledger.prefixesSince(acked, true)
+}
+
+// withoutReports returns a heartbeat without what sums contain.
+func withoutReports(m jaymember.Member) jaymember.Member {
+	m.Work, m.CachedPrefixes, m.Tallies, m.Suspects = nil, nil, nil, nil
+	return m
+}
+
+func encode(d digest) ([]byte, error) {
+	data, err := msgpack.Marshal(&d)
+	if err != nil {
+		return nil, jayerror.Wrap("exchange", KindFormat, err)
+	}
+	return data, nil
+}
+
+// updateRank determines the position of this instance among those of its zone that answer. One
+// without other members in its view becomes the watcher only after startupGrace.
+func (r *Roster) updateRank(self jaymember.Member, members int, candidates []candidate) {
+	hubs, _ := hubsOf(self.Zone, candidates)
+	rank := int64(rankOf(self.Incarnation, hubs))
+	if self.Leaving || members == 0 && time.Since(r.started) <= startupGrace {
+		rank = hubsPerZone
+	}
+	if before := r.rank.Swap(rank); (before == 0) != (rank == 0) {
+		r.log.Info("watcher role of this instance changed", "zone", self.Zone, "self", rank == 0)
+	}
 }
--- a/jay/jayroster/mirrorserver.go
+++ b/jay/jayroster/mirrorserver.go
@@ -27,8 +27,10 @@
 	Topic jaystore.Topic `msgpack:"t"`
 	From  int64          `msgpack:"f"`
 	// Receiver is the incarnation of the requesting instance; instances that set it accept
-	// compressed records and replies without records.
+	// compressed records and replies without records. Peer is the address at which it serves
+	// the records itself once it has received them.
 	Receiver string `msgpack:"q,omitempty"`
+	Peer     string `msgpack:"p,omitempty"`
 	// Received confirms the receipt of the latest records; the request asks for none.
 	Received bool `msgpack:"d,omitempty"`
 }
@@ -41,8 +43,12 @@
 	// Next is the offset after all that the instance has read, -1 before its first read or
 	// with Busy.
 	Next int64 `msgpack:"n"`
-	// Busy is set if the instance already sends as many large replies as it may.
-	Busy bool `msgpack:"b,omitempty"`
+	// Age is the time since the last answer of the store that the records reflect.
+	Age time.Duration `msgpack:"a,omitempty"`
+	// Busy is set if the instance already sends as many large replies as it may. Holders are
+	// then addresses of instances that have received the records.
+	Busy    bool     `msgpack:"b,omitempty"`
+	Holders []string `msgpack:"h,omitempty"`
 }
 
 // mirrorServer serves the records of this instance's mirrors to other instances.
@@ -75,7 +81,7 @@
 		return nil, jayerror.Wrap("mirror", KindFormat, err)
 	}
 	if req.Received {
-		s.transfers.end(transfer{receiver: req.Receiver, topic: req.Topic})
+		s.transfers.end(transfer{receiver: req.Receiver, topic: req.Topic}, holder{peer: req.Peer, next: req.From})
 		return s.encode(mirrorReply{Next: req.From})
 	}
 	mirror, ok := s.mirrors.Load(req.Topic)
@@ -83,7 +89,8 @@
 		return nil, jayerror.Newf("mirror", KindFormat, "topic %q is not mirrored", req.Topic)
 	}
 	records, next := mirror.From(req.From)
-	data, err := s.reply(req, records, next)
+	_, readAt := mirror.Position()
+	data, err := s.reply(req, records, next, time.Since(readAt))
 	if err != nil {
 		return nil, err
 	}
@@ -94,8 +101,8 @@
 }
 
 // reply returns an encoded reply with records, or without if the receiver has to wait for its transfer.
-func (s *mirrorServer) reply(req mirrorRequest, records []jaystore.Record, next int64) ([]byte, error) {
-	reply := mirrorReply{Records: records, Next: next}
+func (s *mirrorServer) reply(req mirrorRequest, records []jaystore.Record, next int64, age time.Duration) ([]byte, error) {
+	reply := mirrorReply{Records: records, Next: next, Age: age}
 	if req.Receiver == "" {
 		return s.encode(reply)
 	}
@@ -107,7 +114,7 @@
 		reply.Records, reply.Compressed = nil, data
 	}
 	if len(reply.Compressed) >= largeReplyBytes && !s.transfers.begin(time.Now(), transfer{receiver: req.Receiver, topic: req.Topic}) {
-		return s.encode(mirrorReply{Next: -1, Busy: true})
+		return s.encode(mirrorReply{Next: -1, Busy: true, Holders: s.transfers.holdersOf(req.Topic, next)})
 	}
 	return s.encode(reply)
 }
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -26,13 +26,24 @@
 	// Period is the time between two exchanges with each contact in a full mesh.
 	Period = 250 * time.Millisecond
 	// maxFullMesh is the number of members up to which each exchanges with all others. Above
-	// it, an instance exchanges with its contacts in its own zone every second period and
-	// with those in other zones every fourth period.
-	maxFullMesh    = 12
-	intraZoneTicks = 2
-	interZoneTicks = 4
-	// heartbeatTTL is the age up to which the work and tallies in a heartbeat are counted.
+	// it, an instance exchanges with the hubs of its zone every second period, and the hubs of
+	// different zones with each other.
+	maxFullMesh  = 12
+	partialTicks = 2
+	// hubsPerZone is the number of instances with which all others of their zone exchange.
+	hubsPerZone = 2
+	// secondaryRounds and suspectRounds are the rounds of exchanges after which the second hub and
+	// an instance that did not answer are contacted again.
+	secondaryRounds = 2
+	suspectRounds   = 4
+	// exchangeBound is how long an exchange may take without any byte of a reply, suspectAfter
+	// how long until another instance is contacted in place of the one that does not answer.
+	exchangeBound = time.Second
+	suspectAfter  = 750 * time.Millisecond
+	// heartbeatTTL is the age up to which the work and tallies in a heartbeat are counted, and
+	// zoneSumsTTL that up to which the sums of another zone are.
 	heartbeatTTL = 1500 * time.Millisecond
+	zoneSumsTTL  = 2500 * time.Millisecond
 )
 
 // Kind classifies a failure of the roster.
@@ -71,13 +82,17 @@
 	changed func(members []jaymember.Status)
 	started time.Time
 
+	reported func(Report)
+
 	mirrors      *mirrors
 	mirrorServer *mirrorServer
 	codec        *codec
 	clients      sync.Map
-	isWatcher    atomic.Bool
-	watcher      atomic.Pointer[jaymember.Status]
-	// others holds all other instances as of the last tick.
+	// rank is the position of this instance among those of its zone that may be hubs: the one
+	// with rank 0 is the watcher.
+	rank      atomic.Int64
+	positions positions
+	// others holds all other instances as of the last round of exchanges.
 	others atomic.Pointer[[]jaymember.Status]
 }
 
@@ -116,24 +131,6 @@
 	m.byTopic.Store(topic, mirror)
 }
 
-// state is accessed only by the owner goroutine.
-type state struct {
-	view     *jaymember.View
-	listed   map[string]jaylist.Instance
-	inFlight map[string]bool
-	// direct holds the incarnations of other zones whose last heartbeat came directly from
-	// another zone; the instance forwards these within its own zone.
-	direct map[string]bool
-	ticks  int
-}
-
-// digest is the message that two instances exchange.
-type digest struct {
-	// Zone is the zone of the sender.
-	Zone       string             `msgpack:"z"`
-	Heartbeats []jaymember.Member `msgpack:"s"`
-}
-
 // Options holds the settings and dependencies of a Roster.
 type Options struct {
 	Self     jaymember.Member
@@ -145,22 +142,22 @@
 	Client []jaypeer.ClientOption
 	Log    *slog.Logger
 	Series Series
-	// Changed is called with all other members on each tick.
+	// Changed is called with all other members in each round of exchanges.
 	Changed func(members []jaymember.Status)
+	// Reported is called in each round with what the other instances report, if it is set.
+	Reported func(report Report)
 }
 
 // Start registers the instance in the store and begins to exchange heartbeats.
 func Start(options Options) *Roster {
 	r := &Roster{
-		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, options: options.Client, log: options.Log, series: options.Series, changed: options.Changed,
+		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, options: options.Client, log: options.Log, series: options.Series, changed: options.Changed, reported: options.Reported,
 		group: jaytask.NewGroup(), started: time.Now(), mirrors: new(mirrors), codec: newCodec(),
 	}
 	r.mirrorServer = newMirrorServer(r.mirrors, r.codec, r.series)
 	r.others.Store(&[]jaymember.Status{})
-	s := &state{
-		view: jaymember.NewView(options.Self), listed: make(map[string]jaylist.Instance),
-		inFlight: make(map[string]bool), direct: make(map[string]bool),
-	}
+	r.rank.Store(hubsPerZone)
+	s := newState(options.Self)
 	r.owner = jaytask.NewOwner(s, Period, r.tick)
 	r.server = jaypeer.NewServer(options.Listener, options.Key, r, options.Log)
 	r.group.Go(r.register)
@@ -204,22 +201,22 @@
 	if err := msgpack.Unmarshal(body, &received); err != nil {
 		return nil, jayerror.Wrap("exchange", KindFormat, err)
 	}
-	var reply []byte
-	var encodeErr error
+	var reply digest
 	err := r.owner.Call(ctx, func(s *state) {
-		s.merge(received)
-		reply, encodeErr = s.encodeDigest(received.Zone)
+		now := time.Now()
+		s.merge(now, received)
+		reply = s.reply(now, received)
 	})
 	if err != nil {
 		return nil, jayerror.Wrap("exchange", KindFormat, err)
 	}
-	return reply, encodeErr
+	return encode(reply)
 }
 
 // Leave starts an exchange at once, so that contacts receive the leaving state, and removes the
 // instance from the store's list.
 func (r *Roster) Leave(ctx context.Context) {
-	if err := r.owner.Send(ctx, func(s *state) { r.tick(s, time.Now()) }); err != nil {
+	if err := r.owner.Send(ctx, func(s *state) { r.exchangeAll(s, time.Now()) }); err != nil {
 		r.log.Warn("leaving state not sent", "error", err)
 	}
 	if err := r.writer.Put(ctx, jaystore.TopicMembers, r.self.Name, nil); err != nil {
--- /dev/null
+++ b/jay/jayroster/state.go
@@ -0,0 +1,154 @@
+package jayroster
+
+import (
+	"time"
+
+	"jayfield.example/jay/jaylist"
+	"jayfield.example/jay/jaymember"
+)
+
+// state is accessed only by the owner goroutine.
+type state struct {
+	view   *jaymember.View
+	listed map[string]jaylist.Instance
+	ledger *ledger
+	// peers holds the state of the exchanges, by the address of the other instance.
+	peers map[string]*peer
+	// sources holds what other instances have reported about members, by their incarnation.
+	sources map[string]*source
+	// directAt is when each instance last sent its own heartbeat, and zoneAt when an instance of
+	// its zone last reported it to be alive, by incarnation. What this instance reports about
+	// others rests on these alone, so that no two instances confirm each other's reports.
+	directAt, zoneAt map[string]time.Time
+	// hubSums are the sums that a hub of the own zone sent, zoneSums those of each other zone.
+	hubSums  *receivedSums
+	zoneSums map[string]receivedSums
+	// announced are the prompt prefixes to pass on with the next report.
+	announced []jaymember.CachedPrefix
+	positions map[string]position
+	ticks     int
+	rounds    int
+}
+
+// peer is the state of the exchanges with an address.
+type peer struct {
+	// sentAt is when the exchange in flight began, zero if there is none.
+	sentAt time.Time
+	// failed is set if the latest exchange failed.
+	failed bool
+}
+
+// source is what an instance has reported about members.
+type source struct {
+	at time.Time
+	// version is the version of the source's ledger up to which its changes have been merged,
+	// acked that of the own ledger that the source has acknowledged.
+	version, acked uint64
+	members        map[uint32]*reportedMember
+}
+
+type reportedMember struct {
+	identity identity
+	state    memberState
+}
+
+type receivedSums struct {
+	at   time.Time
+	sums sums
+}
+
+// sourceTTL is the time without a digest after which what a source has reported is dropped.
+const sourceTTL = 10 * time.Second
+
+func newState(self jaymember.Member) *state {
+	return &state{
+		view: jaymember.NewView(self), listed: make(map[string]jaylist.Instance), ledger: newLedger(), peers: make(map[string]*peer),
+		sources: make(map[string]*source), directAt: make(map[string]time.Time), zoneAt: make(map[string]time.Time),
+		zoneSums: make(map[string]receivedSums), positions: make(map[string]position),
+	}
+}
+
+// partialMesh reports whether there are too many instances for a full mesh. It also counts the
+// store's list, which is the same for all instances, because their views of the members differ
+// at first.
+func (s *state) partialMesh() bool {
+	return max(s.view.Len(), len(s.listed)-1) > maxFullMesh
+}
+
+// suspect reports whether the instance at an address does not answer this one.
+func (s *state) suspect(address string) bool {
+	p, ok := s.peers[address]
+	return ok && (p.failed || !p.sentAt.IsZero() && time.Since(p.sentAt) > suspectAfter)
+}
+
+func (s *state) source(incarnation string) *source {
+	src, ok := s.sources[incarnation]
+	if !ok {
+		src = &source{members: make(map[uint32]*reportedMember)}
+		s.sources[incarnation] = src
+	}
+	return src
+}
+
+// updateLedger records what this instance reports about members.
+func (s *state) updateLedger(now time.Time, members []jaymember.Status) {
+	known := make(map[string]bool, len(members))
+	for _, m := range members {
+		known[m.Incarnation] = true
+		if at, ok := s.evidence(m.Member); ok {
+			s.ledger.update(m.Member, now.Sub(at) <= jaymember.SilenceTimeout)
+		}
+	}
+	for incarnation := range s.ledger.entries {
+		if !known[incarnation] {
+			s.ledger.remove(incarnation)
+		}
+	}
+	s.ledger.prune(now)
+}
+
+// evidence returns when a member was last alive by what this instance may report, and whether it
+// may report anything.
+func (s *state) evidence(m jaymember.Member) (at time.Time, ok bool) {
+	at, ok = s.directAt[m.Incarnation]
+	if m.Zone == s.view.Self().Zone {
+		return at, ok
+	}
+	if zoneAt, reported := s.zoneAt[m.Incarnation]; reported && zoneAt.After(at) {
+		return zoneAt, true
+	}
+	return at, ok
+}
+
+// prune drops what belongs to members that are gone.
+func (s *state) prune(now time.Time) {
+	for incarnation, src := range s.sources {
+		if now.Sub(src.at) > sourceTTL {
+			delete(s.sources, incarnation)
+		}
+	}
+	for incarnation, p := range s.positions {
+		if now.Sub(p.sentAt) > sourceTTL {
+			delete(s.positions, incarnation)
+		}
+	}
+	for _, times := range []map[string]time.Time{s.directAt, s.zoneAt} {
+		for incarnation := range times {
+			if _, ok := s.view.Member(incarnation); !ok {
+				delete(times, incarnation)
+			}
+		}
+	}
+	current := make(map[string]bool)
+	for _, seed := range s.view.Seeds() {
+		current[seed.Peer] = true
+	}
+	for _, m := range s.view.Members() {
+		current[m.Peer] = true
+	}
+	for address, p := range s.peers {
+		if p.sentAt.IsZero() && !current[address] {
+			delete(s.peers, address)
+		}
+	}
+}
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -14,32 +15,49 @@
 )
 
 const (
-	// watcherPollInterval is the time between two checks of the position in the watcher's heartbeat.
-	watcherPollInterval = 100 * time.Millisecond
-	// startupGrace is how long an instance that has just started and has no other member in its view
-	// waits before it becomes the watcher of its zone.
+	// zonePollInterval is the time after which an instance that waits for records of its zone
+	// checks again, if no reply has arrived before.
+	zonePollInterval = 500 * time.Millisecond
+	// busyPollInterval is the time between two requests while all suppliers are busy.
+	busyPollInterval = 100 * time.Millisecond
+	// startupGrace is how long an instance that has just started waits for the first replies of
+	// other instances before it reads the store itself.
 	startupGrace = 1500 * time.Millisecond
 	// maxBusyWait is how long an instance waits while all instances that have the records it needs
 	// are busy with other transfers, before it reads the store itself.
 	maxBusyWait = 1500 * time.Millisecond
+	// fetchBound is how long a request for records may go without any byte of a reply, and
+	// polledFetchBound how long for a topic that is polled, whose records are few.
+	fetchBound       = 500 * time.Millisecond
+	polledFetchBound = 300 * time.Millisecond
+	// storeHedgeDelay is how long the store may take to answer before another instance is asked
+	// too. The store answers in 4 ms, or 60 times as late when it is slow.
+	storeHedgeDelay = 250 * time.Millisecond
+	// standbyFraction is the fraction of the age limit at which the second in line reads the store
+	// in place of the watcher, so that the others find its copy when theirs reaches the limit.
+	standbyFraction = 0.85
 )
 
 // TopicReader reads a topic of the store through the watcher of the zone: the one
 // instance that reads the store itself and serves the records to the others. An
-// instance whose watcher is silent or out of date reads the store itself, and one that
-// gets no answer from the store fetches the records from any other instance. This limits
+// instance that finds no copy in its zone that is fresh enough reads the store itself, and one
+// that gets no answer from the store fetches the records from any other instance. This limits
 // the load on the store, since each call has a cost and there are many instances.
 type TopicReader struct {
 	roster *Roster
 	store  jaystore.Reader
 	topic  jaystore.Topic
 	mirror *jaystore.Mirror
-	// maxAge is the age of the store's last answer to the watcher up to which the watcher is used.
+	// maxAge is the age of the store's last answer up to which another instance's copy is used.
 	maxAge time.Duration
 	// minInterval is the least time between two reads of the store, 0 if the store holds
 	// reads until there is a record (long polling); lastRead is when the store was last read.
 	minInterval time.Duration
 	lastRead    time.Time
+	// holders are the addresses of instances to which a busy supplier referred for the records from
+	// holdersFrom on.
+	holders     []string
+	holdersFrom int64
 }
 
 // TopicReader returns the reader of a topic and serves the topic's mirror to other instances.
@@ -51,9 +69,10 @@
 
 // Newest returns the newest record of each key.
 func (t *TopicReader) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
-	if watcher, _, _, ok := t.roster.watcherPosition(t.topic, t.maxAge); ok {
-		if list, next, result := t.fetch(ctx, watcher, -1); result == resultFetched {
-			return list, next, nil
+	if p, ok := t.zonePosition(); ok {
+		if f := t.fetch(ctx, p.peer, -1, fetchBound); f.result == resultFetched {
+			t.markRead(f.at, f.next, f.records)
+			return f.records, f.next, nil
 		}
 	}
 	list, end, err := t.store.Newest(ctx, topic)
@@ -61,8 +80,9 @@
 		t.mirror.MarkPending(time.Now(), end)
 		return list, end, nil
 	}
-	if list, end, ok := t.fetchFallback(ctx, -1); ok {
-		return list, end, nil
+	if f, ok := t.fetchFallback(ctx, -1); ok && f.next > -1 {
+		t.markRead(f.at, f.next, f.records)
+		return f.records, f.next, nil
 	}
 	return nil, 0, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
@@ -70,15 +90,12 @@
 // Read returns records from an offset on, from another instance of the zone as soon as one
 // has some, or from the store.
 func (t *TopicReader) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+	if t.minInterval > 0 {
+		return t.readPolled(ctx, from)
+	}
 	if list, next, ok := t.readZone(ctx, from, interrupt); ok {
 		return list, next, nil
 	}
-	if t.minInterval > 0 {
-		if time.Since(t.lastRead) < t.minInterval {
-			return nil, from, nil
-		}
-		t.lastRead = time.Now()
-	}
 	list, next, err := t.store.Read(ctx, topic, from, interrupt)
 	if err == nil {
 		// The reply to a long poll reflects the store when the poll ends, so the time is taken now.
@@ -86,18 +103,102 @@
 		return list, next, nil
 	}
 	if jayerror.Is(err, jaystore.KindUnavailable) {
-		list, next, _ = t.fetchFallback(ctx, from)
+		if f, ok := t.fetchFallback(ctx, from); ok && f.next > from {
+			t.markRead(f.at, f.next, f.records)
+			return f.records, f.next, err //nolint:wrapcheck // The store's errors are those of jaystore.
+		}
 	}
 	return list, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
 
-// readZone returns records from the watcher of the zone or from an instance that has read as
-// much; it waits until there are some, unless interrupt is nil. It reports false if the store
-// is to be read.
+// readPolled returns records of a topic that is polled, or none once the copy of this instance
+// has been confirmed for some time. The age of the copy is bounded, whoever does not answer: it is
+// that of the zone's freshest copy as long as this is below the limit, and above it the store is read.
+func (t *TopicReader) readPolled(ctx context.Context, from int64) ([]jaystore.Record, int64, error) {
+	changed := t.roster.positions.onChange()
+	p, ok := t.zonePosition()
+	switch {
+	case ok && p.next > from:
+		if f := t.fetch(ctx, t.supplier(p, from), from, polledFetchBound); f.result == resultFetched {
+			t.markRead(f.at, f.next, f.records)
+			return f.records, f.next, nil
+		}
+	case ok:
+		t.mirror.MarkRead(p.at, from)
+		sleep(ctx, changed, time.Until(p.at.Add(t.ageLimit())))
+		return nil, from, nil
+	case t.roster.starting():
+		// The newest records have just been read, and the first replies will identify the watcher.
+		sleep(ctx, changed, zonePollInterval)
+		return nil, from, nil
+	default:
+		if wait := t.minInterval - time.Since(t.lastRead); wait > 0 {
+			sleep(ctx, changed, wait)
+			return nil, from, nil
+		}
+	}
+	t.lastRead = time.Now()
+	return t.readStore(ctx, from)
+}
+
+// readStore reads the store. If it does not answer soon, another instance is asked too, and what
+// arrives first is returned.
+func (t *TopicReader) readStore(ctx context.Context, from int64) ([]jaystore.Record, int64, error) {
+	type answer struct {
+		records []jaystore.Record
+		next    int64
+		err     error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	start, stored := time.Now(), make(chan answer, 1)
+	go func() {
+		records, next, err := t.store.Read(ctx, t.topic, from, nil)
+		stored <- answer{records, next, err}
+	}()
+	var hedged chan fetched
+	hedge := time.After(storeHedgeDelay)
+	for {
+		select {
+		case a := <-stored:
+			if a.err == nil {
+				t.markRead(start, a.next, a.records)
+				return a.records, a.next, nil
+			}
+			if !jayerror.Is(a.err, jaystore.KindUnavailable) {
+				return a.records, a.next, a.err
+			}
+			if f, ok := t.fetchFallback(ctx, from); ok && f.next > from {
+				t.markRead(f.at, f.next, f.records)
+				return f.records, f.next, a.err
+			}
+			return nil, from, a.err
+		case <-hedge:
+			hedged = make(chan fetched, 1)
+			go func() {
+				if f, ok := t.fetchFallback(ctx, from); ok {
+					hedged <- f
+				}
+			}()
+		case f := <-hedged:
+			if f.next > from || time.Since(f.at) <= t.ageLimit() {
+				t.markRead(f.at, f.next, f.records)
+				return f.records, f.next, nil
+			}
+			// The store has not answered the other instance either.
+			hedged = nil
+		}
+	}
+}
+
+// readZone returns records from an instance of the zone that has some; it waits until there are,
+// unless interrupt is nil. It reports false if the store is to be read.
 func (t *TopicReader) readZone(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, bool) {
 	wait, busySince := interrupt != nil, time.Time{}
 	for ctx.Err() == nil {
+		changed := t.roster.positions.onChange()
 		list, next, result := t.pollZone(ctx, from, wait)
+		pause := zonePollInterval
 		switch {
 		case result == pollRead:
 			return list, next, true
@@ -109,8 +210,12 @@
 		case result == pollBusy && time.Since(busySince) > maxBusyWait:
 			return nil, 0, false
 		}
+		if result == pollBusy {
+			pause, changed = busyPollInterval, nil
+		}
 		select {
-		case <-time.After(watcherPollInterval):
+		case <-time.After(pause):
+		case <-changed:
 		case <-interrupt:
 			return nil, 0, false
 		case <-ctx.Done():
@@ -134,36 +239,32 @@
 
 // pollZone returns the records from an offset on that another instance of the zone has.
 func (t *TopicReader) pollZone(ctx context.Context, from int64, wait bool) ([]jaystore.Record, int64, pollResult) {
-	watcher, next, at, ok := t.roster.watcherPosition(t.topic, t.maxAge)
+	p, ok := t.zonePosition()
 	switch {
 	case !ok && t.roster.starting():
-		// The newest records have just been read, and the first heartbeats will identify the watcher.
+		// The newest records have just been read, and the first replies will identify the watcher.
 		return nil, from, pollEmpty
 	case !ok:
 		return nil, 0, pollUnusable
-	case next > from:
-		return t.fetchFrom(ctx, t.roster.supplier(watcher, t.topic, next), from, at)
+	case p.next > from:
+		return t.fetchFrom(ctx, t.supplier(p, from), from)
 	}
-	t.mirror.MarkRead(at, from)
-	switch {
-	case wait:
+	t.mirror.MarkRead(p.at, from)
+	if wait {
 		return nil, from, pollEmpty
-	case t.minInterval > 0:
-		return nil, from, pollRead
-	default:
-		// A read without waiting of a long-polled topic was triggered by a record that the
-		// watcher does not have: the watcher may be cut off from the store.
-		return nil, 0, pollUnusable
 	}
+	// A read without waiting was triggered by a record that the watcher does not have: the watcher
+	// may be cut off from the store.
+	return nil, 0, pollUnusable
 }
 
-// fetchFrom requests the records of an instance whose zone has read the store at a point in time.
-func (t *TopicReader) fetchFrom(ctx context.Context, address string, from int64, at time.Time) ([]jaystore.Record, int64, pollResult) {
-	list, next, result := t.fetch(ctx, address, from)
-	switch result {
+// fetchFrom requests the records of an instance.
+func (t *TopicReader) fetchFrom(ctx context.Context, address string, from int64) ([]jaystore.Record, int64, pollResult) {
+	f := t.fetch(ctx, address, from, fetchBound)
+	switch f.result {
 	case resultFetched:
-		t.markRead(at, next, list)
-		return list, next, pollRead
+		t.markRead(f.at, f.next, f.records)
+		return f.records, f.next, pollRead
 	case resultBusy:
 		return nil, from, pollBusy
 	default:
@@ -182,13 +283,23 @@
 	resultFailed fetchResult = "failed"
 )
 
+// fetched is what another instance supplied.
+type fetched struct {
+	records []jaystore.Record
+	next    int64
+	// at is when the store last answered the other instance, at the latest.
+	at     time.Time
+	result fetchResult
+}
+
 // fetch requests records from the instance at an address.
-func (t *TopicReader) fetch(ctx context.Context, address string, from int64) ([]jaystore.Record, int64, fetchResult) {
+func (t *TopicReader) fetch(ctx context.Context, address string, from int64, bound time.Duration) fetched {
 	start := time.Now()
-	request := mirrorRequest{Topic: t.topic, From: from, Receiver: t.roster.self.Incarnation}
-	reply, err := t.ask(ctx, address, request)
+	request := mirrorRequest{Topic: t.topic, From: from, Receiver: t.roster.self.Incarnation, Peer: t.roster.self.Peer}
+	reply, err := t.ask(ctx, address, request, bound)
 	if err == nil && reply.Busy {
-		return nil, 0, resultBusy
+		t.holders, t.holdersFrom = reply.Holders, from
+		return fetched{result: resultBusy}
 	}
 	if err == nil && reply.Compressed != nil {
 		reply.Records, err = t.roster.codec.decompress(reply.Compressed)
@@ -197,20 +308,20 @@
 	if err != nil || reply.Next < from {
 		t.roster.log.Info("watcher or other instance did not supply records", "topic", t.topic, "address", address, "next", reply.Next,
 			"took", time.Since(start), "error", err)
-		return nil, 0, resultFailed
+		return fetched{result: resultFailed}
 	}
-	return reply.Records, reply.Next, resultFetched
+	return fetched{records: reply.Records, next: reply.Next, at: start.Add(-reply.Age), result: resultFetched}
 }
 
 // ask sends a request to the instance at an address, over a connection that is used only for
 // the topic: a large reply delays no heartbeats and no records of other topics.
-func (t *TopicReader) ask(ctx context.Context, address string, request mirrorRequest) (mirrorReply, error) {
+func (t *TopicReader) ask(ctx context.Context, address string, request mirrorRequest, bound time.Duration) (mirrorReply, error) {
 	var reply mirrorReply
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return reply, jayerror.Wrap("fetch", KindFormat, err)
 	}
-	body, err = t.roster.client(address, t.topic).Ask(ctx, jaypeer.TopicMirror, body, jaypeer.SilentBound)
+	body, err = t.roster.client(address, t.topic).Ask(ctx, jaypeer.TopicMirror, body, bound)
 	if err != nil {
 		return reply, err //nolint:wrapcheck // The log line names the operation.
 	}
@@ -223,28 +334,28 @@
 // confirm reports to the instance at an address that its transfer has ended.
 func (t *TopicReader) confirm(address string, next int64) {
 	t.roster.group.Go(func(ctx context.Context) {
-		request := mirrorRequest{Topic: t.topic, From: next, Receiver: t.roster.self.Incarnation, Received: true}
-		if _, err := t.ask(ctx, address, request); err != nil {
+		request := mirrorRequest{Topic: t.topic, From: next, Receiver: t.roster.self.Incarnation, Peer: t.roster.self.Peer, Received: true}
+		if _, err := t.ask(ctx, address, request, jaypeer.SilentBound); err != nil {
 			t.roster.log.Debug("transfer not confirmed", "topic", t.topic, "address", address, "error", err)
 		}
 	})
 }
 
 // fetchFallback requests records from another instance while the store does not answer
-// this one: the store may reject single instances. It reports false if the other
-// instance has no newer records.
-func (t *TopicReader) fetchFallback(ctx context.Context, from int64) ([]jaystore.Record, int64, bool) {
+// this one: the store may reject single instances.
+func (t *TopicReader) fetchFallback(ctx context.Context, from int64) (fetched, bool) {
 	fallback, ok := t.roster.fallback()
 	if !ok || ctx.Err() != nil {
-		return nil, 0, false
+		return fetched{}, false
+	}
+	f := t.fetch(ctx, fallback.Peer, from, fetchBound)
+	if f.result != resultFetched {
+		return f, false
 	}
-	list, next, result := t.fetch(ctx, fallback.Peer, from)
-	if result != resultFetched || next <= from {
-		return nil, 0, false
+	if f.next > from {
+		t.roster.log.Info("records fetched from another instance", "topic", t.topic, "instance", fallback.Name, "from", from, "next", f.next, "records", len(f.records))
 	}
-	t.roster.log.Info("records fetched from another instance", "topic", t.topic, "instance", fallback.Name, "from", from, "next", next, "records", len(list))
-	t.markRead(time.Time{}, next, list)
-	return list, next, true
+	return f, true
 }
 
 // markRead records a read in the mirror: at once if it returned no records, else once they
@@ -257,39 +368,40 @@
 	t.mirror.MarkPending(at, next)
 }
 
-// starting reports whether the instance is within startupGrace and not the watcher.
-func (r *Roster) starting() bool {
-	return time.Since(r.started) < startupGrace && !r.isWatcher.Load()
+// zonePosition returns the freshest position of the zone in the topic. It reports false if this
+// instance is to read the store itself: as the watcher, or since no copy is fresh enough.
+func (t *TopicReader) zonePosition() (topicPosition, bool) {
+	if t.roster.rank.Load() == 0 {
+		return topicPosition{}, false
+	}
+	return t.roster.positions.freshest(time.Now(), t.topic, t.ageLimit())
 }
 
-// watcherPosition returns the address of the zone's watcher, the offset up to which it has
-// read a topic and when the store last answered it. It reports false if this instance
-// is to read the store itself.
-func (r *Roster) watcherPosition(topic jaystore.Topic, maxAge time.Duration) (address string, next int64, at time.Time, ok bool) {
-	watcher := r.watcher.Load()
-	if watcher == nil {
-		return "", 0, time.Time{}, false
+// ageLimit returns the age of the store's last answer up to which another instance's copy is used.
+func (t *TopicReader) ageLimit() time.Duration {
+	if t.roster.rank.Load() == 1 {
+		return time.Duration(standbyFraction * float64(t.maxAge))
 	}
-	mirror, ok := watcher.Mirrors[string(topic)]
-	at = watcher.ReceivedAt.Add(-mirror.Age)
-	if !ok || mirror.Next < 0 || time.Since(at) > maxAge || time.Since(watcher.ReceivedAt) > jaymember.SilenceTimeout/2 {
-		return "", 0, time.Time{}, false
-	}
-	return watcher.Peer, mirror.Next, at, true
+	return t.maxAge
 }
 
-// supplier returns the address of an instance of the zone that has read a topic at least up to
-// an offset: a random one of those that report so, and of the watcher.
-func (r *Roster) supplier(watcher string, topic jaystore.Topic, next int64) string {
-	addresses := []string{watcher}
-	for _, m := range *r.others.Load() {
-		if m.Zone == r.self.Zone && m.Peer != watcher && !m.Silent && !m.Leaving && m.Mirrors[string(topic)].Next >= next {
-			addresses = append(addresses, m.Peer)
-		}
+// supplier returns the address of an instance of the zone that has read the topic as far as a
+// position: a random one of those that report so and of those that a busy supplier named.
+func (t *TopicReader) supplier(p topicPosition, from int64) string {
+	addresses := append([]string{p.peer}, t.roster.positions.holders(t.topic, p.next)...)
+	if t.holdersFrom == from {
+		addresses = append(addresses, t.holders...)
 	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
 	return addresses[rand.IntN(len(addresses))] //nolint:gosec // Load spreading needs no cryptographic randomness.
 }
 
+// starting reports whether the instance is within startupGrace and not the watcher.
+func (r *Roster) starting() bool {
+	return time.Since(r.started) < startupGrace && r.rank.Load() != 0
+}
+
 // fallback returns an instance that is likely to have read the store recently: a random
 // one of those with the newest configuration, in the same region if there is one.
 func (r *Roster) fallback() (jaymember.Status, bool) {
@@ -313,34 +425,13 @@
 	return candidates[rand.IntN(len(candidates))], true //nolint:gosec // Load spreading needs no cryptographic randomness.
 }
 
-// electWatcher determines the watcher of the zone: the instance with the lowest
-// incarnation among those that are neither leaving nor silent.
-func (r *Roster) electWatcher(self jaymember.Member, members []jaymember.Status) {
-	lowest := lowestIncarnation(self.Zone, members)
-	isWatcher := lowest == nil || self.Incarnation < lowest.Incarnation && !self.Leaving
-	if isWatcher {
-		lowest = nil
-	}
-	r.watcher.Store(lowest)
-	// Within startupGrace an instance without other members in its view does not become the watcher.
-	isWatcher = isWatcher && (len(members) > 0 || time.Since(r.started) > startupGrace)
-	if r.isWatcher.Swap(isWatcher) != isWatcher {
-		r.log.Info("watcher role of this instance changed", "zone", self.Zone, "self", isWatcher)
-	}
-}
-
-// lowestIncarnation returns the member of a zone with the lowest incarnation that is
-// neither leaving nor silent, nil if there is none.
-func lowestIncarnation(zone string, members []jaymember.Status) *jaymember.Status {
-	var lowest *jaymember.Status
-	for i := range members {
-		m := &members[i]
-		if m.Zone != zone || m.Silent || m.Leaving {
-			continue
-		}
-		if lowest == nil || m.Incarnation < lowest.Incarnation {
-			lowest = m
-		}
+// sleep waits until a channel is closed, a time has passed or ctx ends.
+func sleep(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(max(0, d))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return lowest
 }
--- a/jay/jayroster/transfer.go
+++ b/jay/jayroster/transfer.go
@@ -13,6 +13,8 @@
 	// maxTransfers is the number of transfers that an instance sends at a time, so that on a
 	// slow link the first instances have their copy early and pass it on.
 	maxTransfers = 2
+	// maxHolders bounds the instances that are known to have received the newest records.
+	maxHolders = 16
 	// transferTimeout ends a transfer whose receiver does not confirm it.
 	transferTimeout = 3 * time.Second
 )
@@ -23,15 +25,23 @@
 	topic    jaystore.Topic
 }
 
+// holder is an instance that has received the records of a topic up to an offset.
+type holder struct {
+	peer string
+	next int64
+}
+
 // transfers limits the transfers that an instance sends at a time. It is safe for concurrent use.
 type transfers struct {
 	mu sync.Mutex
 	// until holds the time at which each transfer times out.
 	until map[transfer]time.Time
+	// holders are the latest receivers of each topic.
+	holders map[jaystore.Topic][]holder
 }
 
 func newTransfers() *transfers {
-	return &transfers{until: make(map[transfer]time.Time)}
+	return &transfers{until: make(map[transfer]time.Time), holders: make(map[jaystore.Topic][]holder)}
 }
 
 // begin reports whether a transfer may start now. It may if it has started before and not ended.
@@ -50,9 +60,27 @@
 	return true
 }
 
-// end ends a transfer.
-func (t *transfers) end(received transfer) {
+// end ends a transfer whose receiver confirmed it.
+func (t *transfers) end(received transfer, by holder) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.until, received)
+	if by.peer == "" {
+		return
+	}
+	list := append(t.holders[received.topic], by)
+	t.holders[received.topic] = list[max(0, len(list)-maxHolders):]
+}
+
+// holdersOf returns the addresses of instances that have received a topic at least up to an offset.
+func (t *transfers) holdersOf(topic jaystore.Topic, next int64) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var peers []string
+	for _, h := range t.holders[topic] {
+		if h.next >= next {
+			peers = append(peers, h.peer)
+		}
+	}
+	return peers
 }
--- a/jay/jayroster/transfer_test.go
+++ b/jay/jayroster/transfer_test.go
@@ -22,7 +22,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			x := transfer{receiver: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "receiver"), topic: jaystore.TopicPolicy}
 			if rapid.Bool().Draw(t, "end") {
-				limiter.end(x)
+				limiter.end(x, holder{})
 				delete(started, x)
 				continue
 			}
