--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -33,13 +33,14 @@
 	// and the time since the watcher's last answer from the store for which the watcher, which may
 	// be cut off from the store, is still used.
 	registryReadFraction = 0.36
-	registryAgeFraction  = 0.7
-	// registryPollInterval is the time between two polls of the records that the watcher has read.
-	registryPollInterval = 250 * time.Millisecond
+	registryAgeFraction  = 0.6
+	// registryPollInterval is the time between two reads of the registry, each of which waits for
+	// records itself.
+	registryPollInterval = 10 * time.Millisecond
 	// policyMaxAge and memberMaxAge are the longest times since the watcher's last answer from the
 	// store for which the watcher is used instead of the store. Both topics are read by long
-	// polling, of 4 and 10 s.
-	policyMaxAge = 5500 * time.Millisecond
+	// polling, of 2.5 and 10 s.
+	policyMaxAge = 4 * time.Second
 	memberMaxAge = 12 * time.Second
 	// memberBatchDelay is the time between two reads of the members while they change: each change
 	// ends the long polls of all zones, and instances also exchange their status directly.
--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -18,7 +18,7 @@
 
 // fleetTickInterval is the time between two checks for registry entries that are still
 // missing after the removal grace period.
-const fleetTickInterval = 100 * time.Millisecond
+const fleetTickInterval = 250 * time.Millisecond
 
 // placer is the task that owns the fleet of upstreams, the placement table and the prompt
 // parts in quarantine.
@@ -28,6 +28,8 @@
 	log     *slog.Logger
 	// loaded is set once a snapshot of the registry has been applied.
 	loaded atomic.Bool
+	// takeWork holds the IDs of the upstreams that take new requests.
+	takeWork atomic.Pointer[map[string]bool]
 }
 
 // placerState is the state that the task owns.
@@ -76,6 +78,12 @@
 	})
 }
 
+// TakesWork reports whether an upstream takes new requests by the newest registry.
+func (p *placer) TakesWork(id string) bool {
+	ids := p.takeWork.Load()
+	return ids != nil && (*ids)[id]
+}
+
 // Choose returns the upstream for a request.
 func (p *placer) Choose(ctx context.Context, w jayplace.Work) (jayplace.Choice, error) {
 	var choice jayplace.Choice
@@ -230,7 +238,13 @@
 		return
 	}
 	s.configuredChanges = s.fleet.Changes()
-	s.table.Configure(s.fleet.Available())
+	upstreams := s.fleet.Available()
+	s.table.Configure(upstreams)
+	ids := make(map[string]bool, len(upstreams))
+	for _, u := range upstreams {
+		ids[u.ID] = true
+	}
+	p.takeWork.Store(&ids)
 }
 
 // updateReport processes the work, cached prefixes, send tallies and suspected prompt parts that the
--- a/jay/jaylink/exchange.go
+++ b/jay/jaylink/exchange.go
@@ -33,6 +33,9 @@
 	// Matches reports whether a response answers this request. Late answers to earlier
 	// requests on the connection are skipped.
 	Matches func(status int, header http.Header) bool
+	// Allowed reports whether the request may still be sent, once there is a connection; nil
+	// means that it may.
+	Allowed func() bool
 }
 
 // Response is an answer whose body is still to be read. Its reader must call
@@ -59,6 +62,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.Allowed != nil && !request.Allowed() {
+		p.put(c, max(keepDefault, time.Until(c.until)))
+		return nil, jayerror.New("exchange", KindWithdrawn, "withdrawn before it was sent")
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := c.send(request)
 	response, err := c.receive(request) //nolint:bodyclose // Response.Close and Complete end it.
--- a/jay/jayplace/health.go
+++ b/jay/jayplace/health.go
@@ -20,6 +20,8 @@
 	OutcomeTimeout Outcome = "silent"
 	// OutcomeMoved means that the address now belongs to another upstream.
 	OutcomeMoved Outcome = "moved"
+	// OutcomeWithdrawn means that the upstream was withdrawn before the request was sent.
+	OutcomeWithdrawn Outcome = "withdrawn"
 	// OutcomeCallerGone means that the caller disconnected, which is no evidence about the upstream.
 	OutcomeCallerGone Outcome = "gone"
 )
@@ -65,7 +67,7 @@
 	case OutcomeRefused:
 		h.ejectedUntil = later(h.ejectedUntil, now.Add(refusalBackoff))
 		return false
-	case OutcomeCallerGone:
+	case OutcomeCallerGone, OutcomeWithdrawn:
 		return false
 	case OutcomeTimeout:
 		if h.timeouts++; h.timeouts < timeoutsToEject {
--- a/jay/jayplace/tally.go
+++ b/jay/jayplace/tally.go
@@ -38,7 +38,7 @@
 		t.current.Served++
 	case OutcomeFailed, OutcomeBroken, OutcomeMoved, OutcomeUnreachable:
 		t.current.Failed++
-	case OutcomeCallerGone, OutcomeRefused, OutcomeTimeout:
+	case OutcomeCallerGone, OutcomeRefused, OutcomeTimeout, OutcomeWithdrawn:
 	}
 }
 
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -35,6 +35,8 @@
 	Choose(ctx context.Context, w jayplace.Work) (jayplace.Choice, error)
 	// DecodeUpstream returns the upstream that decodes a prompt for which prefillUpstream ran prefill.
 	DecodeUpstream(ctx context.Context, w jayplace.Work, prefillUpstream jayfleet.Upstream) (jayfleet.Upstream, error)
+	// TakesWork reports whether an upstream still takes new requests.
+	TakesWork(id string) bool
 	// StartPrefill is called when prefill of a choice's prompt starts, EndPrefill when it ends.
 	StartPrefill(c jayplace.Choice)
 	EndPrefill(c jayplace.Choice, prefix string, done bool)
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -43,6 +43,11 @@
 	outcome    jayplace.Outcome
 }
 
+// sent reports whether anything of the request may have reached the upstream.
+func (f *failure) sent() bool {
+	return f.outcome != jayplace.OutcomeUnreachable && f.outcome != jayplace.OutcomeWithdrawn
+}
+
 // send sends the request to an upstream. It returns the response if checkResponse
 // accepts it, or the failure.
 func (x *exchange) send(ctx context.Context, to jayfleet.Upstream, s Send) (*upstreamResponse, *failure) {
@@ -59,6 +64,7 @@
 			// Refusals and responses to prefill-only requests may have no request ID.
 			return id == x.call.ID || id == "" && (s.PrefillOnly || status >= http.StatusMultipleChoices)
 		},
+		Allowed: func() bool { return x.placer.TakesWork(to.ID) },
 	}
 	x.sends++
 	x.avoid[to.ID] = true
@@ -68,6 +74,9 @@
 	response, err := x.links.Exchange(ctx, to.Address, request)
 	if err != nil {
 		f := x.exchangeFailure(ctx, err)
+		if f.outcome == jayplace.OutcomeWithdrawn {
+			x.sends--
+		}
 		x.recordSend(to, f.outcome, time.Since(sentAt))
 		return nil, f
 	}
@@ -105,6 +114,8 @@
 		f.cause, f.outcome = jayerror.Wrap("send", KindCallerGone, err), jayplace.OutcomeCallerGone
 	case jayerror.Is(err, jaylink.KindConnect):
 		f.ran, f.outcome = false, jayplace.OutcomeUnreachable
+	case jayerror.Is(err, jaylink.KindWithdrawn):
+		f.ran, f.outcome = false, jayplace.OutcomeWithdrawn
 	case ctx.Err() != nil:
 		f.outcome = jayplace.OutcomeTimeout
 	}
@@ -153,7 +164,7 @@
 	case f.ran && !x.route.Repeatable():
 		return x.unknownOutcome(f.cause)
 	case x.runs >= max(1, x.route.Attempts) || x.sends >= maxSends:
-	case f.outcome == jayplace.OutcomeUnreachable || x.budget.Spend(x.service):
+	case !f.sent() || x.budget.Spend(x.service):
 		x.logRetry(f)
 		return nil
 	}
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -93,6 +93,14 @@
 	}
 	s.decodeUpstream = decodeUpstream
 	resp, f := s.send(ctx, decodeUpstream, send)
+	for f != nil && f.outcome == jayplace.OutcomeWithdrawn && choice.Disaggregated {
+		// The prompt has been prefilled, so that another decode engine can go on.
+		if decodeUpstream, err = s.placer.DecodeUpstream(ctx, s.work(), choice.Upstream); err != nil {
+			return &failure{cause: err, noUpstream: true}
+		}
+		s.decodeUpstream = decodeUpstream
+		resp, f = s.send(ctx, decodeUpstream, send)
+	}
 	if f != nil {
 		s.recordAnswer(decodeUpstream, f.outcome)
 		return f
@@ -204,6 +212,9 @@
 	if f != nil {
 		// Prefill does not count as a run of the request.
 		f.ran = false
+		if !f.sent() {
+			s.prefills--
+		}
 		return KV{}, f
 	}
 	s.sends--
