--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -47,35 +48,36 @@
 // exchangeAll updates this instance's heartbeat, starts an exchange with each contact that is due
 // and passes on the members and what they report.
 func (r *Roster) exchangeAll(s *state, now time.Time) {
-	s.rounds++
-	s.view.UpdateSelf(func(self *jaymember.Member) {
+	members, contacts := s.beginRound(now, func(self *jaymember.Member) {
 		r.source.FillHeartbeat(self)
 		self.Mirrors = r.mirrors.Positions(now)
 	})
-	s.view.Tick(now)
-	members := s.view.Members()
 	r.others.Store(&members)
-	if s.partialMesh() {
-		s.updateLedger(now, members)
-		s.announceOwn(now)
-	}
-	s.prune(now)
-	candidates := s.candidates(members)
-	for _, c := range s.contacts(members, candidates) {
+	for _, c := range contacts {
 		r.exchange(s, now, c)
 	}
-	r.updateRank(s.view.Self(), len(members), candidates)
+	r.updateRank(s.view.Self(), s.candidates(now, members))
 	r.changed(members)
 	if r.reported != nil {
 		r.reported(s.report(now))
 	}
 }
 
-// announceOwn reports the prompt prefixes that this instance announces itself.
-func (s *state) announceOwn(now time.Time) {
-	for _, prefix := range s.view.Self().CachedPrefixes {
-		s.ledger.announce(now, prefix, true)
+// beginRound updates this instance's heartbeat and what it reports, and returns all members and the
+// contacts of the round.
+func (s *state) beginRound(now time.Time, fill func(self *jaymember.Member)) ([]jaymember.Status, []contact) {
+	s.rounds++
+	s.view.UpdateSelf(fill)
+	s.view.Tick(now)
+	members := s.view.Members()
+	if s.partialMesh() {
+		s.updateLedger(now, members)
+		for _, prefix := range s.view.Self().CachedPrefixes {
+			s.ledger.announce(now, prefix, true)
+		}
 	}
+	s.prune(now, members)
+	return members, s.contacts(members, s.candidates(now, members))
 }
 
 // contacts returns the instances to exchange with in this round.
@@ -93,7 +95,7 @@
 func (s *state) meshContacts(members []jaymember.Status, candidates []candidate) []contact {
 	self := s.view.Self()
 	watcher := ""
-	if hubs, _ := hubsOf(self.Zone, candidates); len(hubs) > 0 {
+	if hubs := hubsOf(self.Zone, candidates); len(hubs) > 0 {
 		watcher = hubs[0].incarnation
 	}
 	var contacts []contact
@@ -116,7 +118,7 @@
 // sums of the zone.
 func (s *state) hubContacts(candidates []candidate) []contact {
 	self := s.view.Self()
-	hubs, suspects := hubsOf(self.Zone, candidates)
+	hubs := hubsOf(self.Zone, candidates)
 	rank := rankOf(self.Incarnation, hubs)
 	var contacts []contact
 	add := func(c candidate, wantSums bool) {
@@ -128,12 +130,19 @@
 			add(c, !isHub && first)
 		}
 	}
-	retry := s.rounds%suspectRounds == 0
-	if retry {
-		for _, c := range suspects {
-			add(c, false)
+	retry := func(zone string, hubs []candidate) {
+		if s.rounds%retryRounds != 0 {
+			return
+		}
+		list := passedOver(zone, candidates, hubs)
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		for _, c := range list[:min(maxRetries, len(list))] {
+			if c.incarnation != self.Incarnation {
+				add(c, false)
+			}
 		}
 	}
+	retry(self.Zone, hubs)
 	if rank == len(hubs) {
 		return contacts
 	}
@@ -141,13 +150,11 @@
 		if zone < self.Zone {
 			continue
 		}
-		remote, silent := hubsOf(zone, candidates)
+		remote := hubsOf(zone, candidates)
 		if len(remote) > 0 {
 			add(remote[min(rank, len(remote)-1)], false)
 		}
-		if retry && len(silent) > 0 {
-			add(silent[0], false)
-		}
+		retry(zone, remote)
 	}
 	return contacts
 }
@@ -182,7 +189,8 @@
 		sendErr := r.owner.Send(ctx, func(s *state) {
 			p.sentAt, p.failed = time.Time{}, err != nil
 			if err == nil {
-				r.mergeReply(s, received, now)
+				s.mergeReply(time.Now(), received, now)
+				r.positions.set(s.positions)
 			}
 		})
 		if sendErr != nil {
@@ -192,14 +200,13 @@
 }
 
 // mergeReply merges the reply to a request that was sent at a point in time.
-func (r *Roster) mergeReply(s *state, d digest, sentAt time.Time) {
-	s.merge(time.Now(), d)
+func (s *state) mergeReply(now time.Time, d digest, sentAt time.Time) {
+	s.merge(now, d)
 	if d.To == s.view.Self().Incarnation {
 		s.source(d.Incarnation).acked = d.Ack
 	}
 	if d.Zone == s.view.Self().Zone {
 		s.positions[d.Incarnation] = position{peer: d.Self.Peer, mirrors: d.Self.Mirrors, sentAt: sentAt}
-		r.positions.set(s.positions)
 	}
 }
 
@@ -226,17 +233,18 @@
 }
 
 // mergeChanges applies the changes of members in a digest, and confirms all members that its
-// sender reports to be alive.
+// sender reports to be alive. A digest without a version or with an old one confirms nothing.
 func (s *state) mergeChanges(now time.Time, d digest) {
 	src := s.source(d.Incarnation)
 	src.at = now
-	if d.Version >= src.version {
-		src.version = d.Version
-		for _, c := range d.Changes {
-			if !src.apply(c) {
-				// Everything is requested again.
-				src.version = 0
-			}
+	if d.Version == 0 || d.Version < src.version {
+		return
+	}
+	src.version = d.Version
+	for _, c := range d.Changes {
+		if !src.apply(c) {
+			// Everything is requested again.
+			src.version = 0
 		}
 	}
 	for _, m := range src.members {
@@ -339,11 +347,11 @@
 }
 
 // updateRank determines the position of this instance among those of its zone that answer. One
-// without other members in its view becomes the watcher only after startupGrace.
-func (r *Roster) updateRank(self jaymember.Member, members int, candidates []candidate) {
-	hubs, _ := hubsOf(self.Zone, candidates)
+// that sees no other becomes the watcher only after startupGrace.
+func (r *Roster) updateRank(self jaymember.Member, candidates []candidate) {
+	hubs := hubsOf(self.Zone, candidates)
 	rank := int64(rankOf(self.Incarnation, hubs))
-	if self.Leaving || members == 0 && time.Since(r.started) <= startupGrace {
+	if self.Leaving || len(candidates) == 1 && time.Since(r.started) <= startupGrace {
 		rank = hubsPerZone
 	}
 	if before := r.rank.Swap(rank); (before == 0) != (rank == 0) {
--- /dev/null
+++ b/jay/jayroster/mesh_test.go
@@ -0,0 +1,269 @@
+package jayroster
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jayfield.example/jay/jaylist"
+	"jayfield.example/jay/jaymember"
+)
+
+// node is the state of one instance in a model of the exchanges.
+type node struct {
+	*state
+	address string
+	work    jaymember.Work
+	dead    bool
+	leaving bool
+	config  int64
+}
+
+// mesh is a model of the exchanges of all instances, round by round, with messages that are lost.
+type mesh struct {
+	now     time.Time
+	nodes   []*node
+	started int
+	// lost reports whether a message is lost.
+	lost func() bool
+}
+
+func newMesh(zones, perZone int) *mesh {
+	m := &mesh{now: time.Unix(1000, 0), lost: func() bool { return false }}
+	for n := range zones * perZone {
+		m.start(fmt.Sprint("z", n%zones), fmt.Sprint("a", n))
+	}
+	m.list()
+	return m
+}
+
+// start starts an instance at an address.
+func (m *mesh) start(zone, address string) *node {
+	m.started++
+	// The order of incarnations is not that of the starts.
+	incarnation := fmt.Sprintf("%04d", m.started*7919%10000)
+	self := jaymember.Member{Name: address, Incarnation: incarnation, Address: address, Peer: address, Region: zone, Zone: zone, Config: -1}
+	n := &node{state: newState(self), address: address, work: jaymember.Work{Running: m.started}, config: 1}
+	m.nodes = append(m.nodes, n)
+	return n
+}
+
+// list passes the list of all living instances to each.
+func (m *mesh) list() {
+	var list []jaylist.Instance
+	for _, n := range m.nodes {
+		if self := n.view.Self(); !n.dead {
+			list = append(list, jaylist.Instance{Name: self.Name, Sort: jaylist.SortEntry, Incarnation: self.Incarnation, Peer: self.Peer, Zone: self.Zone, State: jaylist.StateLive})
+		}
+	}
+	for _, n := range m.nodes {
+		clear(n.listed)
+		for _, i := range list {
+			n.listed[i.Name] = i
+		}
+		n.view.List(list)
+	}
+}
+
+// round runs one round of all instances.
+func (m *mesh) round() {
+	m.now = m.now.Add(partialTicks * Period)
+	for _, n := range m.nodes {
+		if n.dead {
+			continue
+		}
+		_, contacts := n.beginRound(m.now, func(self *jaymember.Member) {
+			self.Config, self.Leaving = n.config, n.leaving
+			self.Work = []jaymember.UpstreamWork{{Upstream: 1, Work: n.work}}
+		})
+		for _, c := range contacts {
+			m.exchange(n, c)
+		}
+	}
+}
+
+// exchange sends a request of an instance to a contact, and the reply back.
+func (m *mesh) exchange(n *node, c contact) {
+	p := &peer{failed: true}
+	n.peers[c.peer] = p
+	request := n.request(m.now, c)
+	i := slices.IndexFunc(m.nodes, func(other *node) bool { return other.address == c.peer && !other.dead })
+	if i < 0 || m.lost() {
+		return
+	}
+	other := m.nodes[i]
+	other.merge(m.now, request)
+	reply := other.reply(m.now, request)
+	if m.lost() {
+		return
+	}
+	p.failed = false
+	n.mergeReply(m.now, reply, m.now)
+}
+
+func (m *mesh) living() []*node {
+	return slices.DeleteFunc(slices.Clone(m.nodes), func(n *node) bool { return n.dead })
+}
+
+// check reports where an instance's view differs from the truth.
+func (m *mesh) check(fatalf func(format string, args ...any)) {
+	for _, n := range m.living() {
+		for _, other := range m.nodes {
+			if other == n {
+				continue
+			}
+			self := other.view.Self()
+			status, ok := n.view.Member(self.Incarnation)
+			switch {
+			case other.dead && ok && !status.Silent:
+				fatalf("%s takes %s, which is gone, for alive", n.address, other.address)
+			case other.dead:
+			case !ok || status.Silent:
+				fatalf("%s does not know that %s is alive", n.address, other.address)
+			case status.Leaving != other.leaving || status.Config != other.config:
+				fatalf("%s has leaving %v and configuration %d of %s, want %v and %d", n.address, status.Leaving, status.Config, other.address, other.leaving, other.config)
+			}
+		}
+		m.checkWork(n, fatalf)
+	}
+}
+
+// checkWork compares the reported work with that of the other instances of the zone.
+func (m *mesh) checkWork(n *node, fatalf func(format string, args ...any)) {
+	want := 0
+	for _, other := range m.living() {
+		if other != n && other.view.Self().Zone == n.view.Self().Zone {
+			want += other.work.Running
+		}
+	}
+	if got := n.report(m.now).Work[1].Running; got != want {
+		fatalf("%s counts work of %d at its zone, want %d", n.address, got, want)
+	}
+}
+
+// After any loss of messages, stops and restarts all instances have the same view within some seconds:
+// nobody who is gone is kept alive by the reports of others, no leave is lost, and no work is counted twice.
+func TestExchangesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMesh(rapid.IntRange(1, 3).Draw(t, "zones"), rapid.IntRange(14, 16).Draw(t, "instances"))
+		for range rapid.IntRange(1, 4).Draw(t, "phases") {
+			lossy := rapid.IntRange(0, 60).Draw(t, "lost")
+			m.lost = func() bool { return rapid.IntRange(0, 99).Draw(t, "fate") < lossy }
+			for range rapid.IntRange(0, 3).Draw(t, "changes") {
+				n := rapid.SampledFrom(m.living()).Draw(t, "instance")
+				switch rapid.IntRange(0, 3).Draw(t, "change") {
+				case 0:
+					n.dead = true
+				case 1:
+					n.dead = true
+					m.start(n.view.Self().Zone, n.address)
+					m.list()
+				case 2:
+					n.leaving = true
+				case 3:
+					n.config++
+				}
+			}
+			for range rapid.IntRange(0, 10).Draw(t, "rounds") {
+				m.round()
+			}
+		}
+		m.lost = func() bool { return false }
+		for range 24 {
+			m.round()
+		}
+		m.check(t.Fatalf)
+	})
+}
+
+// Guards against exchanges whose number grows with the square of a zone, and against digests that
+// carry what their receiver has.
+func TestExchangesAreFewAndSmall(t *testing.T) {
+	m := newMesh(6, 33)
+	for range 20 {
+		m.round()
+	}
+	exchanges, bytes := 0, 0
+	const rounds = 4
+	for range rounds {
+		m.now = m.now.Add(partialTicks * Period)
+		for _, n := range m.nodes {
+			_, contacts := n.beginRound(m.now, func(*jaymember.Member) {})
+			for _, c := range contacts {
+				data, err := encode(n.request(m.now, c))
+				if err != nil {
+					t.Fatal(err)
+				}
+				exchanges++
+				bytes += len(data)
+				m.exchange(n, c)
+			}
+		}
+	}
+	// Two rounds a second, of which every second one includes the second hub.
+	if limit := rounds * len(m.nodes) * 2; exchanges > limit {
+		t.Errorf("%d exchanges in %d rounds of %d instances, want at most %d", exchanges, rounds, len(m.nodes), limit)
+	}
+	if mean := bytes / exchanges; mean > 500 {
+		t.Errorf("mean request of %d bytes, want at most 500", mean)
+	}
+}
+
+// Guards against a copy that counts as fresh since its message was delayed.
+func TestFreshestPosition(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := func(sentAgo, age time.Duration, next int64) position {
+		return position{peer: fmt.Sprint(sentAgo), sentAt: now.Add(-sentAgo), mirrors: map[string]jaymember.Mirror{"policy": {Next: next, Age: age}}}
+	}
+	tests := map[string]struct {
+		positions []position
+		peer      string
+		ok        bool
+	}{
+		"none":                                  {nil, "", false},
+		"the younger copy":                      {[]position{at(100*time.Millisecond, time.Second, 1), at(400*time.Millisecond, 100*time.Millisecond, 1)}, "400ms", true},
+		"age counts from the request":           {[]position{at(1400*time.Millisecond, 700*time.Millisecond, 1)}, "1.4s", false},
+		"an instance that has not replied long": {[]position{at(1600*time.Millisecond, 0, 1)}, "", false},
+		"an instance that has read nothing":     {[]position{at(0, 0, -1)}, "", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			current := make(map[string]position)
+			for n, p := range test.positions {
+				current[fmt.Sprint(n)] = p
+			}
+			var p positions
+			p.set(current)
+			got, ok := p.freshest(now, "policy", 2*time.Second)
+			if ok != test.ok || got.peer != test.peer {
+				t.Errorf("position = %+v, %v, want that of %q, %v", got, ok, test.peer, test.ok)
+			}
+		})
+	}
+}
+
+func TestHubsOf(t *testing.T) {
+	a, b, c := candidate{incarnation: "a", zone: "z", ready: true}, candidate{incarnation: "b", zone: "z", ready: true}, candidate{incarnation: "c", zone: "z", ready: true}
+	young, silent := candidate{incarnation: "0", zone: "z"}, candidate{incarnation: "1", zone: "z", ready: true, suspect: true}
+	other := candidate{incarnation: "2", zone: "y", ready: true}
+	tests := map[string]struct {
+		candidates, hubs, passedOver []candidate
+	}{
+		"the lowest incarnations":               {[]candidate{c, b, a}, []candidate{a, b}, nil},
+		"others after one that has just begun":  {[]candidate{young, c, b}, []candidate{b, c}, []candidate{young}},
+		"one that has just begun where alone":   {[]candidate{young}, []candidate{young}, nil},
+		"the next in place of one that is mute": {[]candidate{silent, b, a}, []candidate{a, b}, []candidate{silent}},
+		"only those of the zone":                {[]candidate{other, a}, []candidate{a}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			hubs := hubsOf("z", test.candidates)
+			if others := passedOver("z", test.candidates, hubs); !slices.Equal(hubs, test.hubs) || !slices.Equal(others, test.passedOver) {
+				t.Errorf("hubs = %v, passed over = %v, want %v, %v", hubs, others, test.hubs, test.passedOver)
+			}
+		})
+	}
+}
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -32,10 +32,11 @@
 	partialTicks = 2
 	// hubsPerZone is the number of instances with which all others of their zone exchange.
 	hubsPerZone = 2
-	// secondaryRounds and suspectRounds are the rounds of exchanges after which the second hub and
-	// an instance that did not answer are contacted again.
+	// secondaryRounds and retryRounds are the rounds of exchanges after which the second hub and
+	// instances that were passed over as hubs are contacted again, at most maxRetries of a zone.
 	secondaryRounds = 2
-	suspectRounds   = 4
+	retryRounds     = 4
+	maxRetries      = 4
 	// exchangeBound is how long an exchange may take without any byte of a reply, suspectAfter
 	// how long until another instance is contacted in place of the one that does not answer.
 	exchangeBound = time.Second
--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -76,9 +76,9 @@
 }
 
 // suspect reports whether the instance at an address does not answer this one.
-func (s *state) suspect(address string) bool {
+func (s *state) suspect(now time.Time, address string) bool {
 	p, ok := s.peers[address]
-	return ok && (p.failed || !p.sentAt.IsZero() && time.Since(p.sentAt) > suspectAfter)
+	return ok && (p.failed || !p.sentAt.IsZero() && now.Sub(p.sentAt) > suspectAfter)
 }
 
 func (s *state) source(incarnation string) *source {
@@ -121,7 +121,7 @@
 }
 
 // prune drops what belongs to members that are gone.
-func (s *state) prune(now time.Time) {
+func (s *state) prune(now time.Time, members []jaymember.Status) {
 	for incarnation, src := range s.sources {
 		if now.Sub(src.at) > sourceTTL {
 			delete(s.sources, incarnation)
@@ -143,7 +143,7 @@
 	for _, seed := range s.view.Seeds() {
 		current[seed.Peer] = true
 	}
-	for _, m := range s.view.Members() {
+	for _, m := range members {
 		current[m.Peer] = true
 	}
 	for address, p := range s.peers {
--- a/jay/jayroster/topology.go
+++ b/jay/jayroster/topology.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"jayfield.example/jay/jaymember"
 )
@@ -38,20 +39,32 @@
 	return list
 }
 
-// hubsOf returns the hubs of a zone: the first candidates that answer. Those before them that do not
-// answer follow in suspects, so that they are tried from time to time.
-func hubsOf(zone string, candidates []candidate) (hubs, suspects []candidate) {
+// hubsOf returns the hubs of a zone: the first candidates that answer.
+func hubsOf(zone string, candidates []candidate) []candidate {
+	var hubs []candidate
 	for _, c := range ranked(zone, candidates) {
-		switch {
-		case len(hubs) == hubsPerZone:
-			return hubs, suspects
-		case c.suspect:
-			suspects = append(suspects, c)
-		default:
+		if !c.suspect && len(hubs) < hubsPerZone {
 			hubs = append(hubs, c)
 		}
 	}
-	return hubs, suspects
+	return hubs
+}
+
+// passedOver returns the candidates of a zone that would be hubs by their incarnations, but do not
+// answer or are not ready. They are contacted from time to time, since nobody else may notice that
+// this has changed.
+func passedOver(zone string, candidates, hubs []candidate) []candidate {
+	var list []candidate
+	for _, c := range candidates {
+		before := len(hubs) < hubsPerZone
+		for _, hub := range hubs {
+			before = before || c.incarnation < hub.incarnation
+		}
+		if c.zone == zone && before && !slices.Contains(hubs, c) {
+			list = append(list, c)
+		}
+	}
+	return list
 }
 
 // rankOf returns the position of an incarnation in a list, or the length of the list.
@@ -66,21 +79,21 @@
 
 // candidates returns the instance itself and all members and seeds that may be hubs, in one list
 // for all zones.
-func (s *state) candidates(members []jaymember.Status) []candidate {
+func (s *state) candidates(now time.Time, members []jaymember.Status) []candidate {
 	self := s.view.Self()
 	list := make([]candidate, 0, len(members)+1)
 	if !self.Leaving {
 		list = append(list, candidate{incarnation: self.Incarnation, peer: self.Peer, zone: self.Zone, ready: self.Config >= 0})
 	}
 	for _, m := range members {
-		if m.Silent || m.Leaving || m.Peer == "" {
+		if m.Leaving || m.Peer == "" || m.Silent && !m.Listed {
 			continue
 		}
-		list = append(list, candidate{incarnation: m.Incarnation, peer: m.Peer, zone: m.Zone, ready: m.Config >= 0, suspect: s.suspect(m.Peer)})
+		list = append(list, candidate{incarnation: m.Incarnation, peer: m.Peer, zone: m.Zone, ready: m.Config >= 0, suspect: m.Silent || s.suspect(now, m.Peer)})
 	}
 	for _, seed := range s.view.Seeds() {
 		// Nothing is known of a seed, so it may be ready: else each instance would be a hub to itself.
-		list = append(list, candidate{incarnation: seed.Incarnation, peer: seed.Peer, zone: seed.Zone, ready: true, suspect: s.suspect(seed.Peer)})
+		list = append(list, candidate{incarnation: seed.Incarnation, peer: seed.Peer, zone: seed.Zone, ready: true, suspect: s.suspect(now, seed.Peer)})
 	}
 	return list
 }
