--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -68,11 +68,14 @@
 	}
 }
 
-// partialMesh reports whether there are too many instances for a full mesh. It also counts the
-// store's list, which is the same for all instances, because their views of the members differ
-// at first.
+// partialMesh reports whether there are too many instances for a full mesh. It counts the store's
+// list, which is the same for all instances: their views of the members differ, and instances
+// of both kinds would miss each other's heartbeats.
 func (s *state) partialMesh() bool {
-	return max(s.view.Len(), len(s.listed)-1) > maxFullMesh
+	if len(s.listed) == 0 {
+		return s.view.Len() > maxFullMesh
+	}
+	return len(s.listed)-1 > maxFullMesh
 }
 
 // suspect reports whether the instance at an address does not answer this one.
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -379,7 +379,7 @@
 
 // ageLimit returns the age of the store's last answer up to which another instance's copy is used.
 func (t *TopicReader) ageLimit() time.Duration {
-	if t.roster.rank.Load() == 1 {
+	if t.minInterval > 0 && t.roster.rank.Load() == 1 {
 		return time.Duration(standbyFraction * float64(t.maxAge))
 	}
 	return t.maxAge
