--- a/jay/jayconfig/replica_test.go
+++ b/jay/jayconfig/replica_test.go
@@ -207,6 +207,7 @@
 		"bad selector":   {"[route r]\nmodel = m\nupstreams = a in (\n", "f.ini:3: [route r] upstreams: "},
 		"bad address":    {"[upstream u]\naddress = engine\n", "f.ini:2: [upstream u] address: \"engine\" is not an address"},
 		"clear key":      {"[caller c]\nkey = secret\n", "f.ini:2: [caller c] key: not sha256:"},
+		"odd delete":     {"[route r]\ndelete = true\n", "f.ini:2: [route r] delete: "},
 		"empty document": {"\n", "f.ini: document has no sections"},
 	}
 	for name, test := range tests {
--- a/jay/jayplace/place_test.go
+++ b/jay/jayplace/place_test.go
@@ -245,3 +245,27 @@
 		})
 	}
 }
+
+// Guards against a prefix that is in use all the time and announced only once: other instances take
+// it for dropped after 30 s, and read it anew elsewhere.
+func TestPrefixInUseIsAnnouncedAgain(t *testing.T) {
+	table := jayplace.NewTable(jayplace.Location{Zone: "z0", Region: "r0"}, map[string]string{"z0": "r0"})
+	table.Configure([]jayfleet.Upstream{{ID: "e", Service: "s", Address: "10.0.0.1:80", Zone: "z0", Slots: 4, Stage: jayfleet.StageDecode}})
+	w := jayplace.Work{Service: "s", Prompt: true, Prefix: "p", PrefixTokens: 1000, OwnTokens: 10}
+	latest := start
+	for second := range 60 {
+		now := start.Add(time.Duration(second) * time.Second)
+		choice, err := table.Choose(now, w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		table.StartPrefill(choice)
+		table.EndPrefill(now, choice, w.Prefix, true)
+		if len(table.AnnouncedPrefixes(now)) > 0 {
+			latest = now
+		}
+		if age := now.Sub(latest); age > 10*time.Second {
+			t.Fatalf("prefix in use was announced %s ago", age)
+		}
+	}
+}
