--- a/jay/jayconfig/change.go
+++ b/jay/jayconfig/change.go
@@ -98,6 +98,9 @@
 			}
 			change.Base = base
 		case keyDelete:
+			if key.Value != "yes" && key.Value != "no" {
+				return Change{}, section.Fault(jayini.KindValue, key.Name, strconv.Quote(key.Value)+" is not yes or no")
+			}
 			change.Delete = key.Value == "yes"
 		default:
 			object.Keys = append(object.Keys, key)
--- a/jay/jaydispatch/state.go
+++ b/jay/jaydispatch/state.go
@@ -20,8 +20,6 @@
 	// share is the fraction of the total capacity that this instance owns.
 	share float64
 	meter *meter
-	// ready is set once a configuration has been applied.
-	ready bool
 }
 
 // poolCost is the mean time per prompt token (prefill) and per output token (decode)
@@ -50,7 +48,6 @@
 
 func (s *state) configure(config *jayconfig.State) {
 	s.table.Configure(config)
-	s.ready = true
 	s.requeue(time.Now())
 }
 
--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -105,6 +105,8 @@
 	e.pool = jaylink.NewPool(jaylink.NewDialer())
 	store := adapter.Store(settings.Store, e.series)
 	if err := e.listen(adapter, store); err != nil {
+		e.group.Stop()
+		e.placer.owner.Stop()
 		return nil, err
 	}
 	e.follow(store, jaystore.TopicMembers, jaystore.NewMirror(e.roster), 0, memberMaxAge, 0, jaystore.WithBatchDelay(memberBatchDelay))
@@ -202,6 +204,9 @@
 		}
 		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
 			return errors.WithStack(err)
 		}
 		listeners[address] = listener
--- a/jay/jaymember/view.go
+++ b/jay/jaymember/view.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// MarkSilent marks a member as silent before its time, since another instance reports that it is no
+// longer alive.
+func (v *View) MarkSilent(now time.Time, incarnation string) {
+	if known, ok := v.members[incarnation]; ok {
+		known.Silent = true
+		if limit := now.Add(-SilenceTimeout - 1); known.ReceivedAt.After(limit) {
+			known.ReceivedAt = limit
+		}
+	}
+}
+
 // Member returns the status of a member, and whether it is known.
 func (v *View) Member(incarnation string) (Status, bool) {
 	known, ok := v.members[incarnation]
--- a/jay/jayonce/table.go
+++ b/jay/jayonce/table.go
@@ -154,15 +154,6 @@
 	entry.sends--
 }
 
-// Settled returns the outcome of a key and whether the key is settled.
-func (t *Table) Settled(key Key) (Outcome, bool) {
-	entry, ok := t.entries[key]
-	if !ok || entry.phase != PhaseSettled {
-		return Outcome{}, false
-	}
-	return entry.outcome, true
-}
-
 // Outcomes returns every settled key with its outcome.
 func (t *Table) Outcomes() []KeyOutcome {
 	var list []KeyOutcome
--- a/jay/jayorder/record.go
+++ b/jay/jayorder/record.go
@@ -18,8 +18,6 @@
 const (
 	// KindRecord means that a record body cannot be encoded or decoded.
 	KindRecord Kind = "record"
-	// KindBlocked means that another order of the engine is outstanding.
-	KindBlocked Kind = "blocked"
 )
 
 // Error is the error type of the package.
--- a/jay/jayplace/cache.go
+++ b/jay/jayplace/cache.go
@@ -11,9 +11,8 @@
 const (
 	// prefixTTL is how long a prefix is assumed to stay cached after its last use.
 	prefixTTL = 30 * time.Second
-	// reannounceAfter is the time since the previous use of a prefix from which a use is
-	// announced again. Until then, other instances are assumed to hold the last
-	// announcement.
+	// reannounceAfter is the time since the last announcement of a prefix from which a use is
+	// announced again. Until then, other instances are assumed to hold it.
 	reannounceAfter = 5 * time.Second
 	// announcePrefixFor is how long a cached prefix is announced. It spans several gossip
 	// exchanges, since single ones may be lost.
@@ -25,6 +24,12 @@
 	// lastUsed is when each prefix was last prefilled or used, as far as this instance has
 	// observed.
 	lastUsed map[uint32]time.Time
+	// announced is when this instance last announced each prefix.
+	announced map[uint32]time.Time
+}
+
+func newCache() cache {
+	return cache{lastUsed: make(map[uint32]time.Time), announced: make(map[uint32]time.Time)}
 }
 
 // announcement is the gossip entry for a prefix that an engine has cached.
@@ -41,9 +46,12 @@
 
 // touch records the use of a prefix and reports whether to announce it to other instances.
 func (c *cache) touch(now time.Time, prefix uint32) bool {
-	before, ok := c.lastUsed[prefix]
 	c.lastUsed[prefix] = now
-	return !ok || now.Sub(before) > reannounceAfter
+	if at, ok := c.announced[prefix]; ok && now.Sub(at) <= reannounceAfter {
+		return false
+	}
+	c.announced[prefix] = now
+	return true
 }
 
 // hash32 returns a short hash of a name, for announcements to other instances.
--- a/jay/jayplace/upstream.go
+++ b/jay/jayplace/upstream.go
@@ -57,7 +57,7 @@
 }
 
 func newUpstream(spec jayfleet.Upstream) *upstream {
-	return &upstream{spec: spec, serviceTime: initialServiceTime.Seconds(), idHash: xxhash.Sum64String(spec.ID), idHash32: hash32(spec.ID), cache: cache{lastUsed: make(map[uint32]time.Time)}}
+	return &upstream{spec: spec, serviceTime: initialServiceTime.Seconds(), idHash: xxhash.Sum64String(spec.ID), idHash32: hash32(spec.ID), cache: newCache()}
 }
 
 // busy estimates the requests at the upstream: those of this instance, plus those that other
--- a/jay/jayrelay/plain.go
+++ b/jay/jayrelay/plain.go
@@ -50,6 +50,10 @@
 			return
 		}
 		if err := x.checkRetry(ctx, f); err != nil {
+			if f.response != nil && ctx.Err() == nil {
+				x.forwardResponse(f.response, f.body)
+				return
+			}
 			x.fail(err)
 			return
 		}
@@ -74,7 +78,7 @@
 	}
 	x.recordResponse(resp, jayplace.OutcomeFailed)
 	if x.route.Repeatable() && x.runs+1 < x.route.Attempts && x.sends < maxSends && time.Until(x.deadline) > x.route.Timeout/4 {
-		return nil, &failure{cause: errors.Errorf("upstream failed with %d", resp.Status), ran: true, outcome: jayplace.OutcomeFailed}
+		return nil, &failure{cause: errors.Errorf("upstream failed with %d", resp.Status), ran: true, outcome: jayplace.OutcomeFailed, response: resp, body: body}
 	}
 	return body, nil
 }
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -40,7 +40,11 @@
 	ran bool
 	// noUpstream is set if no upstream accepts the request; nothing was sent.
 	noUpstream bool
-	outcome    jayplace.Outcome
+	// response and body are the upstream's own error, which the caller gets if no other upstream
+	// is tried; nil if there is none.
+	response *upstreamResponse
+	body     []byte
+	outcome  jayplace.Outcome
 }
 
 // sent reports whether anything of the request may have reached the upstream.
@@ -157,7 +161,7 @@
 		x.runs++
 	}
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && (x.runs > 0 || !f.noUpstream):
 		return x.timedOut(f.cause)
 	case f.noUpstream:
 		return x.giveUp(f.cause)
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -245,6 +245,10 @@
 		if !src.apply(c) {
 			// Everything is requested again.
 			src.version = 0
+			continue
+		}
+		if !c.State.Alive {
+			s.markGone(now, src.members[c.Number].identity, d.Zone)
 		}
 	}
 	for _, m := range src.members {
@@ -255,6 +259,18 @@
 	}
 }
 
+// markGone records that an instance of a zone no longer takes a member for alive. Another one that
+// does confirms the member with its next digest.
+func (s *state) markGone(now time.Time, member identity, zone string) {
+	if at, ok := s.directAt[member.Incarnation]; ok && now.Sub(at) <= jaymember.SilenceTimeout {
+		return
+	}
+	s.view.MarkSilent(now, member.Incarnation)
+	if _, ok := s.zoneAt[member.Incarnation]; ok && zone == member.Zone {
+		s.zoneAt[member.Incarnation] = time.Time{}
+	}
+}
+
 // apply applies a change. It reports false if the member is not known.
 func (src *source) apply(c memberChange) bool {
 	if c.Identity != nil {
--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -117,7 +117,7 @@
 	if m.Zone == s.view.Self().Zone {
 		return at, ok
 	}
-	if zoneAt, reported := s.zoneAt[m.Incarnation]; reported && zoneAt.After(at) {
+	if zoneAt, reported := s.zoneAt[m.Incarnation]; reported && !zoneAt.Before(at) {
 		return zoneAt, true
 	}
 	return at, ok
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -28,12 +28,6 @@
 	Available(ctx context.Context)
 }
 
-// ReadMarker is notified of each response of the store, also of those without records.
-type ReadMarker interface {
-	// MarkRead records that a response was complete up to an offset as of a point in time.
-	MarkRead(at time.Time, next int64)
-}
-
 // RetryLimiter limits the rate of the calls that followers make to an unavailable store.
 type RetryLimiter interface {
 	// Reserve reserves a call and returns how long to wait before making it.
