--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -57,14 +57,14 @@
 
 // UpstreamWork is the work at an upstream, identified by the hash of its ID.
 type UpstreamWork struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads its tag.
 	Upstream uint32
 	Work     Work
 }
 
 // Work is one instance's work at an upstream.
 type Work struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads its tag.
 	// Running is the number of requests. PrefillTokens is the number of prompt tokens sent but
 	// not prefilled yet, and ShortPrefillTokens the part of them that belongs to short
 	// prefills, which engines run first.
@@ -93,14 +93,14 @@
 
 // CachedPrefix is a prompt prefix that an engine has cached; both fields are hashes of names.
 type CachedPrefix struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads its tag.
 	Upstream uint32   `msgpack:"u"`
 	Part     uint32   `msgpack:"p"`
 }
 
 // Tally counts the outcomes of recent sends to an upstream, identified by the hash of its ID.
 type Tally struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads its tag.
 	Upstream uint32   `msgpack:"u"`
 	Served   int      `msgpack:"s"`
 	Failed   int      `msgpack:"f"`
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -161,13 +161,13 @@
 		x.runs++
 	}
 	switch {
-	case ctx.Err() != nil && (x.runs > 0 || !f.noUpstream):
-		return x.timedOut(f.cause)
-	case f.noUpstream:
+	case f.noUpstream && (x.runs == 0 || ctx.Err() == nil):
 		return x.giveUp(f.cause)
+	case ctx.Err() != nil:
+		return x.timedOut(f.cause)
 	case f.ran && !x.route.Repeatable():
 		return x.unknownOutcome(f.cause)
-	case x.runs >= max(1, x.route.Attempts) || x.sends >= maxSends:
+	case x.exhausted():
 	case !f.sent() || x.budget.Spend(x.service):
 		x.logRetry(f)
 		return nil
@@ -175,6 +175,11 @@
 	return x.giveUp(f.cause)
 }
 
+// exhausted reports whether the request has had all of its runs or sends.
+func (x *exchange) exhausted() bool {
+	return x.runs >= max(1, x.route.Attempts) || x.sends >= maxSends
+}
+
 // giveUp returns the error for a request that is not retried.
 func (x *exchange) giveUp(cause error) error {
 	if x.runs > 0 {
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -72,7 +72,6 @@
 	if !w.Prompt {
 		send.Priority = -1
 	}
-	decodeUpstream := choice.Upstream
 	if choice.Disaggregated {
 		kv, f := s.prefill(ctx, choice)
 		if f != nil {
@@ -87,28 +86,35 @@
 				go s.releaseKV(choice.Upstream, kv)
 			}
 		}()
-		if decodeUpstream, err = s.placer.DecodeUpstream(ctx, s.work(), choice.Upstream); err != nil {
-			return &failure{cause: err, noUpstream: true}
-		}
-	}
-	s.decodeUpstream = decodeUpstream
-	resp, f := s.send(ctx, decodeUpstream, send)
-	for f != nil && f.outcome == jayplace.OutcomeWithdrawn && choice.Disaggregated {
-		// The prompt has been prefilled, so that another decode engine can go on.
-		if decodeUpstream, err = s.placer.DecodeUpstream(ctx, s.work(), choice.Upstream); err != nil {
-			return &failure{cause: err, noUpstream: true}
-		}
-		s.decodeUpstream = decodeUpstream
-		resp, f = s.send(ctx, decodeUpstream, send)
 	}
+	resp, f := s.sendDecode(ctx, choice, send)
 	if f != nil {
-		s.recordAnswer(decodeUpstream, f.outcome)
+		s.recordAnswer(s.decodeUpstream, f.outcome)
 		return f
 	}
 	send.Source = ""
 	return s.relay(ctx, resp, func() { endPrefill(true) })
 }
 
+// sendDecode sends the request to the upstream that generates the answer: the chosen one or, after
+// disaggregated prefill, a decode engine, and the next one if that has been withdrawn meanwhile.
+func (s *stream) sendDecode(ctx context.Context, choice jayplace.Choice, send Send) (*upstreamResponse, *failure) {
+	s.decodeUpstream = choice.Upstream
+	if !choice.Disaggregated {
+		return s.send(ctx, choice.Upstream, send)
+	}
+	for {
+		upstream, err := s.placer.DecodeUpstream(ctx, s.work(), choice.Upstream)
+		if err != nil {
+			return nil, &failure{cause: err, noUpstream: true}
+		}
+		s.decodeUpstream = upstream
+		if resp, f := s.send(ctx, upstream, send); f == nil || f.outcome != jayplace.OutcomeWithdrawn {
+			return resp, f
+		}
+	}
+}
+
 // recordAnswer reports an answer that was completed or cut off by its upstream to the placer.
 func (s *stream) recordAnswer(upstream jayfleet.Upstream, outcome jayplace.Outcome) {
 	if s.route.Prompt && (outcome == jayplace.OutcomeServed || outcome == jayplace.OutcomeBroken) {
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -120,30 +120,15 @@
 	self := s.view.Self()
 	hubs := hubsOf(self.Zone, candidates)
 	rank := rankOf(self.Incarnation, hubs)
+	isHub := rank < len(hubs)
 	var contacts []contact
-	add := func(c candidate, wantSums bool) {
-		contacts = append(contacts, contact{incarnation: c.incarnation, peer: c.peer, zone: c.zone, wantSums: wantSums})
-	}
 	for n, c := range hubs[:rank] {
-		isHub, first := rank < len(hubs), n == 0
-		if isHub || first || s.rounds%secondaryRounds == 0 {
-			add(c, !isHub && first)
-		}
-	}
-	retry := func(zone string, hubs []candidate) {
-		if s.rounds%retryRounds != 0 {
-			return
-		}
-		list := passedOver(zone, candidates, hubs)
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-		for _, c := range list[:min(maxRetries, len(list))] {
-			if c.incarnation != self.Incarnation {
-				add(c, false)
-			}
+		if first := n == 0; isHub || first || s.rounds%secondaryRounds == 0 {
+			contacts = append(contacts, contact{incarnation: c.incarnation, peer: c.peer, zone: c.zone, wantSums: !isHub && first})
 		}
 	}
-	retry(self.Zone, hubs)
-	if rank == len(hubs) {
+	contacts = append(contacts, s.retries(self.Zone, candidates, hubs)...)
+	if !isHub {
 		return contacts
 	}
 	for _, zone := range zonesOf(candidates, self.Zone) {
@@ -152,9 +137,27 @@
 		}
 		remote := hubsOf(zone, candidates)
 		if len(remote) > 0 {
-			add(remote[min(rank, len(remote)-1)], false)
+			c := remote[min(rank, len(remote)-1)]
+			contacts = append(contacts, contact{incarnation: c.incarnation, peer: c.peer, zone: c.zone})
+		}
+		contacts = append(contacts, s.retries(zone, candidates, remote)...)
+	}
+	return contacts
+}
+
+// retries returns the instances of a zone that were passed over as hubs and are contacted again in
+// this round.
+func (s *state) retries(zone string, candidates, hubs []candidate) []contact {
+	if s.rounds%retryRounds != 0 {
+		return nil
+	}
+	list := passedOver(zone, candidates, hubs)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] }) //nolint:gosec // Load spreading needs no secrecy.
+	var contacts []contact
+	for _, c := range list[:min(maxRetries, len(list))] {
+		if c.incarnation != s.view.Self().Incarnation {
+			contacts = append(contacts, contact{incarnation: c.incarnation, peer: c.peer, zone: c.zone})
 		}
-		retry(zone, remote)
 	}
 	return contacts
 }
--- a/jay/jayroster/ledger.go
+++ b/jay/jayroster/ledger.go
@@ -36,7 +36,7 @@
 
 // identity holds the fields of a member that do not change.
 type identity struct {
-	_msgpack    struct{} `msgpack:",as_array"`
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // The codec reads its tag.
 	Incarnation string
 	Name        string
 	Address     string
@@ -47,7 +47,7 @@
 
 // memberState holds the fields of a member that are reported when they change.
 type memberState struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads its tag.
 	Alive    bool
 	Leaving  bool
 	Config   int64
@@ -56,7 +56,7 @@
 // memberChange is a change of a member in a digest. Number identifies the member in all messages
 // of the sender; Identity is nil if the receiver has acknowledged it.
 type memberChange struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads its tag.
 	Number   uint32
 	State    memberState
 	Identity *identity
--- a/jay/jayroster/mesh_test.go
+++ b/jay/jayroster/mesh_test.go
@@ -42,14 +42,13 @@
 }
 
 // start starts an instance at an address.
-func (m *mesh) start(zone, address string) *node {
+func (m *mesh) start(zone, address string) {
 	m.started++
 	// The order of incarnations is not that of the starts.
 	incarnation := fmt.Sprintf("%04d", m.started*7919%10000)
 	self := jaymember.Member{Name: address, Incarnation: incarnation, Address: address, Peer: address, Region: zone, Zone: zone, Config: -1}
 	n := &node{state: newState(self), address: address, work: jaymember.Work{Running: m.started}, config: 1}
 	m.nodes = append(m.nodes, n)
-	return n
 }
 
 // list passes the list of all living instances to each.
--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -1,6 +1,7 @@
 package jayroster
 
 import (
+	"maps"
 	"time"
 
 	"jayfield.example/jay/jaylist"
@@ -135,23 +136,14 @@
 			delete(s.positions, incarnation)
 		}
 	}
-	for _, times := range []map[string]time.Time{s.directAt, s.zoneAt} {
-		for incarnation := range times {
-			if _, ok := s.view.Member(incarnation); !ok {
-				delete(times, incarnation)
-			}
-		}
-	}
-	current := make(map[string]bool)
-	for _, seed := range s.view.Seeds() {
-		current[seed.Peer] = true
-	}
+	known, addresses := make(map[string]bool, len(members)), make(map[string]bool, len(members))
 	for _, m := range members {
-		current[m.Peer] = true
+		known[m.Incarnation], addresses[m.Peer] = true, true
 	}
-	for address, p := range s.peers {
-		if p.sentAt.IsZero() && !current[address] {
-			delete(s.peers, address)
-		}
+	for _, seed := range s.view.Seeds() {
+		addresses[seed.Peer] = true
 	}
+	maps.DeleteFunc(s.directAt, func(incarnation string, _ time.Time) bool { return !known[incarnation] })
+	maps.DeleteFunc(s.zoneAt, func(incarnation string, _ time.Time) bool { return !known[incarnation] })
+	maps.DeleteFunc(s.peers, func(address string, p *peer) bool { return p.sentAt.IsZero() && !addresses[address] })
 }
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -97,18 +97,8 @@
 		return list, next, nil
 	}
 	list, next, err := t.store.Read(ctx, topic, from, interrupt)
-	if err == nil {
-		// The reply to a long poll reflects the store when the poll ends, so the time is taken now.
-		t.markRead(time.Now(), next, list)
-		return list, next, nil
-	}
-	if jayerror.Is(err, jaystore.KindUnavailable) {
-		if f, ok := t.fetchFallback(ctx, from); ok && f.next > from {
-			t.markRead(f.at, f.next, f.records)
-			return f.records, f.next, err //nolint:wrapcheck // The store's errors are those of jaystore.
-		}
-	}
-	return list, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
+	// The reply to a long poll reflects the store when the poll ends, so the time is taken now.
+	return t.useStored(ctx, from, time.Now(), stored{list, next, err})
 }
 
 // readPolled returns records of a topic that is polled, or none once the copy of this instance
@@ -141,54 +131,61 @@
 	return t.readStore(ctx, from)
 }
 
+// stored is what the store answered.
+type stored struct {
+	records []jaystore.Record
+	next    int64
+	err     error
+}
+
 // readStore reads the store. If it does not answer soon, another instance is asked too, and what
 // arrives first is returned.
 func (t *TopicReader) readStore(ctx context.Context, from int64) ([]jaystore.Record, int64, error) {
-	type answer struct {
-		records []jaystore.Record
-		next    int64
-		err     error
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	start, stored := time.Now(), make(chan answer, 1)
+	start, answers := time.Now(), make(chan stored, 1)
 	go func() {
 		records, next, err := t.store.Read(ctx, t.topic, from, nil)
-		stored <- answer{records, next, err}
+		answers <- stored{records, next, err}
 	}()
-	var hedged chan fetched
-	hedge := time.After(storeHedgeDelay)
-	for {
-		select {
-		case a := <-stored:
-			if a.err == nil {
-				t.markRead(start, a.next, a.records)
-				return a.records, a.next, nil
-			}
-			if !jayerror.Is(a.err, jaystore.KindUnavailable) {
-				return a.records, a.next, a.err
-			}
-			if f, ok := t.fetchFallback(ctx, from); ok && f.next > from {
-				t.markRead(f.at, f.next, f.records)
-				return f.records, f.next, a.err
-			}
-			return nil, from, a.err
-		case <-hedge:
-			hedged = make(chan fetched, 1)
-			go func() {
-				if f, ok := t.fetchFallback(ctx, from); ok {
-					hedged <- f
-				}
-			}()
-		case f := <-hedged:
-			if f.next > from || time.Since(f.at) <= t.ageLimit() {
-				t.markRead(f.at, f.next, f.records)
-				return f.records, f.next, nil
-			}
-			// The store has not answered the other instance either.
-			hedged = nil
+	select {
+	case a := <-answers:
+		return t.useStored(ctx, from, start, a)
+	case <-time.After(storeHedgeDelay):
+	}
+	hedged := make(chan fetched, 1)
+	go func() {
+		if f, ok := t.fetchFallback(ctx, from); ok {
+			hedged <- f
+		}
+	}()
+	select {
+	case a := <-answers:
+		return t.useStored(ctx, from, start, a)
+	case f := <-hedged:
+		if f.next > from || time.Since(f.at) <= t.ageLimit() {
+			t.markRead(f.at, f.next, f.records)
+			return f.records, f.next, nil
 		}
 	}
+	// The store has not answered the other instance either.
+	return t.useStored(ctx, from, start, <-answers)
+}
+
+// useStored returns what the store answered to a read that began at start or, if it is unavailable,
+// what another instance supplies, along with the error.
+func (t *TopicReader) useStored(ctx context.Context, from int64, start time.Time, a stored) ([]jaystore.Record, int64, error) {
+	if a.err == nil {
+		t.markRead(start, a.next, a.records)
+		return a.records, a.next, nil
+	}
+	if jayerror.Is(a.err, jaystore.KindUnavailable) {
+		if f, ok := t.fetchFallback(ctx, from); ok && f.next > from {
+			t.markRead(f.at, f.next, f.records)
+			return f.records, f.next, a.err
+		}
+	}
+	return a.records, a.next, a.err
 }
 
 // readZone returns records from an instance of the zone that has some; it waits until there are,
@@ -196,22 +193,20 @@
 func (t *TopicReader) readZone(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, bool) {
 	wait, busySince := interrupt != nil, time.Time{}
 	for ctx.Err() == nil {
-		changed := t.roster.positions.onChange()
+		changed, pause := t.roster.positions.onChange(), zonePollInterval
 		list, next, result := t.pollZone(ctx, from, wait)
-		pause := zonePollInterval
-		switch {
-		case result == pollRead:
+		if result == pollRead {
 			return list, next, true
-		case result == pollUnusable:
-			return nil, 0, false
-		case result == pollBusy && busySince.IsZero():
-			// The records that an interrupt would be about are about to be transferred.
-			busySince, interrupt = time.Now(), nil
-		case result == pollBusy && time.Since(busySince) > maxBusyWait:
-			return nil, 0, false
 		}
 		if result == pollBusy {
-			pause, changed = busyPollInterval, nil
+			// The records that an interrupt would be about are about to be transferred.
+			changed, interrupt, pause = nil, nil, busyPollInterval
+			if busySince.IsZero() {
+				busySince = time.Now()
+			}
+		}
+		if result == pollUnusable || !busySince.IsZero() && time.Since(busySince) > maxBusyWait {
+			return nil, 0, false
 		}
 		select {
 		case <-time.After(pause):
--- a/jay/jayroster/transfer.go
+++ b/jay/jayroster/transfer.go
@@ -68,8 +68,10 @@
 	if by.peer == "" {
 		return
 	}
-	list := append(t.holders[received.topic], by)
-	t.holders[received.topic] = list[max(0, len(list)-maxHolders):]
+	t.holders[received.topic] = append(t.holders[received.topic], by)
+	if list := t.holders[received.topic]; len(list) > maxHolders {
+		t.holders[received.topic] = list[len(list)-maxHolders:]
+	}
 }
 
 // holdersOf returns the addresses of instances that have received a topic at least up to an offset.
