--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -90,7 +90,7 @@
 
 // meshContacts returns the contacts in a full mesh. Of two members of each other's view, the one
 // with the higher incarnation sends the request, since the watcher has the lowest and only a
-// reply tells how old its positions are at most. The watcher, silent members and seeds are
+// reply bounds the age of its positions. The watcher, silent members and seeds are
 // contacted by all.
 func (s *state) meshContacts(members []jaymember.Status, candidates []candidate) []contact {
 	self := s.view.Self()
