--- a/jay/jayonce/archive.go
+++ b/jay/jayonce/archive.go
@@ -8,6 +8,12 @@
 	Outcome Outcome `msgpack:"o"`
 }
 
+// Recorded returns the outcome as it is written to the log and sent to peers.
+func (o KeyOutcome) Recorded() KeyOutcome {
+	o.Outcome.Body = o.Outcome.Body[:min(len(o.Outcome.Body), maxRecordedBody)]
+	return o
+}
+
 // Archive holds outcomes read from the log or sent by peers, so that keys whose home is
 // another incarnation can be answered here. It serves lookups only; no work runs because of
 // it. Its methods are called by one task.
--- a/jay/jayonce/journal.go
+++ b/jay/jayonce/journal.go
@@ -113,7 +113,7 @@
 
 // Record queues an outcome for the zone's other instances and the log.
 func (j *Journal) Record(keyOutcome KeyOutcome) {
-	keyOutcome.Outcome.Body = keyOutcome.Outcome.Body[:min(len(keyOutcome.Outcome.Body), maxRecordedBody)]
+	keyOutcome = keyOutcome.Recorded()
 	_ = j.owner.Send(context.Background(), func(s *journalState) {
 		s.forPeers = append(s.forPeers, keyOutcome)
 		s.forLog = append(s.forLog, keyOutcome)
