--- a/jay/jaylease/view.go
+++ b/jay/jaylease/view.go
@@ -1,9 +1,17 @@
 package jaylease
 
-import "jayfield.example/jay/jaylog"
+import (
+	"slices"
 
-// noOffset stands for the offset of a record where none has been read.
-const noOffset = -1
+	"jayfield.example/jay/jaylog"
+)
+
+const (
+	// noOffset stands for the offset of a record where none has been read.
+	noOffset = -1
+	// maxReleased bounds the incarnations that are remembered after they released the lease.
+	maxReleased = 64
+)
 
 // Holder is the incarnation that holds a cell's lease.
 type Holder struct {
@@ -28,8 +36,9 @@
 	// last is the offset of the cell's newest record, effective or not.
 	last   int64
 	holder Holder
-	// released is the incarnation that last released the lease.
-	released string
+	// released are the incarnations that released the lease and have not claimed it since, the
+	// latest last.
+	released []string
 }
 
 // NewView returns the view of a reader that starts at the given offset.
@@ -53,12 +62,14 @@
 	writer := entry.Record.ID.Incarnation
 	switch entry.Record.Kind {
 	case RecordClaim:
+		v.released = without(v.released, writer)
 		v.holder = Holder{Incarnation: writer, Fence: entry.Offset + 1, Offset: entry.Offset}
 	case RecordRenew:
 		v.holder = Holder{Incarnation: writer, Fence: body.Fence, Offset: entry.Offset}
 	case RecordRelease:
 		v.holder = Holder{Offset: entry.Offset}
-		v.released = writer
+		v.released = append(without(v.released, writer), writer)
+		v.released = v.released[max(0, len(v.released)-maxReleased):]
 	}
 	return true, true
 }
@@ -69,7 +80,13 @@
 	return v.holder
 }
 
-// Released reports whether an incarnation was the last to release the lease by a record.
+// Released reports whether an incarnation has released the lease by a record and not claimed it
+// since.
 func (v *View) Released(incarnation string) bool {
-	return v.released == incarnation
+	return slices.Contains(v.released, incarnation)
+}
+
+// without returns a copy of a list without an incarnation.
+func without(list []string, incarnation string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(other string) bool { return other == incarnation })
 }
--- a/jay/jaymesh/state.go
+++ b/jay/jaymesh/state.go
@@ -1,6 +1,7 @@
 package jaymesh
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -44,20 +45,21 @@
 
 // digest returns the digest for a contact. Within the zone it holds the load reports that
 // this instance fetched itself and the heartbeats of other zones; for another zone it holds
-// all load reports, or none above maxForwardedLoads, and the heartbeats of this zone.
+// the latest load reports, at most maxForwardedLoads, and the heartbeats of this zone.
 func (s *state) digest(now time.Time, own []Running, sameZone bool) Digest {
 	d := Digest{From: s.view.Self(), Running: own}
 	for name, report := range s.loads {
 		if sameZone && !report.own {
 			continue
 		}
-		if !sameZone && len(s.loads) > maxForwardedLoads {
-			break
-		}
 		load := report.load
 		load.Age = now.Sub(report.measured).Milliseconds()
 		d.Loads = append(d.Loads, EngineLoad{Upstream: name, Load: load})
 	}
+	if !sameZone && len(d.Loads) > maxForwardedLoads {
+		slices.SortFunc(d.Loads, func(a, b EngineLoad) int { return cmp.Compare(a.Load.Age, b.Load.Age) })
+		d.Loads = d.Loads[:maxForwardedLoads]
+	}
 	if sameZone && len(s.members) > 0 {
 		d.Members = s.otherZoneMembers()
 		return d
--- a/jay/jayonce/archive.go
+++ b/jay/jayonce/archive.go
@@ -1,6 +1,9 @@
 package jayonce
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // KeyOutcome is a settled key with its outcome, as written to the log and sent to peers.
 type KeyOutcome struct {
@@ -8,9 +11,13 @@
 	Outcome Outcome `msgpack:"o"`
 }
 
-// Recorded returns the outcome as it is written to the log and sent to peers.
+// Recorded returns the outcome as it is written to the log and sent to peers. An outcome whose body
+// is too large is recorded as unknown, with a reason: its first part must not pass for the whole.
 func (o KeyOutcome) Recorded() KeyOutcome {
-	o.Outcome.Body = o.Outcome.Body[:min(len(o.Outcome.Body), maxRecordedBody)]
+	if size := len(o.Outcome.Body); size > maxRecordedBody {
+		reason := fmt.Sprintf("the work ran and was answered with status %d; its body of %d bytes is too large to be recorded", o.Outcome.Status, size)
+		o.Outcome = Outcome{Run: RunUnknown, Reason: reason}
+	}
 	return o
 }
 
--- a/jay/jayonce/home.go
+++ b/jay/jayonce/home.go
@@ -105,6 +105,8 @@
 	switch action {
 	case ActionReject:
 		return Outcome{Run: RunUnknown, Reason: "home is full"}
+	case ActionStop:
+		return Outcome{Run: RunUnknown, Reason: "home stops"}
 	case ActionRun:
 		go h.run(ctx, call)
 	case ActionWait:
@@ -239,7 +241,7 @@
 		action, entry = s.table.Begin(now, call.Key)
 	})
 	if callErr != nil {
-		return ActionReject, nil, nil
+		return ActionStop, nil, nil
 	}
 	return action, entry, err
 }
--- a/jay/jayonce/journal.go
+++ b/jay/jayonce/journal.go
@@ -24,7 +24,7 @@
 	outcomePeriodPerInstance = 10 * time.Millisecond
 	// batchLimit bounds the number of intents or outcomes in a record.
 	batchLimit = 256
-	// maxRecordedBody bounds the part of a response body that is recorded, in bytes.
+	// maxRecordedBody bounds the response bodies that are recorded, in bytes.
 	maxRecordedBody = 4 << 10
 	// readWait is how long a read at the end of the stream waits for new records.
 	readWait = 5 * time.Second
--- a/jay/jayonce/table.go
+++ b/jay/jayonce/table.go
@@ -69,6 +69,8 @@
 	ActionWait Action = "wait"
 	// ActionReject rejects the attempt since the table is full; the key is not registered.
 	ActionReject Action = "full"
+	// ActionStop rejects the attempt since the home stops.
+	ActionStop Action = "stop"
 )
 
 // Table holds the state of the keys of one home. Its methods are called by one task.
--- a/jay/jayroute/prefill.go
+++ b/jay/jayroute/prefill.go
@@ -41,7 +41,7 @@
 func (u *Upstream) prefillsFor(decoder *Upstream) bool {
 	switch u.role() {
 	case jayconfig.RolePrefill:
-		return true
+		return decoder.role() != jayconfig.RolePrefill
 	case jayconfig.RoleDecode:
 		return false
 	case jayconfig.RoleMixed:
