--- a/jay/jayroster/mesh_test.go
+++ b/jay/jayroster/mesh_test.go
@@ -268,3 +268,23 @@
 		})
 	}
 }
+
+// Guards against a former hub that keeps dead instances alive: its requests carry no reports, so they
+// confirm none of what it reported before.
+func TestDigestWithoutVersionConfirmsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newState(jaymember.Member{Incarnation: "1", Zone: "z"})
+	hub := jaymember.Member{Incarnation: "2", Zone: "z", Sequence: 1}
+	dead := &identity{Incarnation: "3", Zone: "z"}
+	s.merge(now, digest{Incarnation: "2", Zone: "z", Self: hub, Version: 5, Changes: []memberChange{{Number: 1, State: memberState{Alive: true}, Identity: dead}}})
+	if m, ok := s.view.Member("3"); !ok || m.Silent {
+		t.Fatalf("member = %+v, %v, want one that is alive", m, ok)
+	}
+	now = now.Add(2 * jaymember.SilenceTimeout)
+	hub.Sequence++
+	s.merge(now, digest{Incarnation: "2", Zone: "z", Self: hub})
+	s.view.Tick(now)
+	if m, _ := s.view.Member("3"); !m.Silent {
+		t.Error("a digest without reports confirmed a member")
+	}
+}
