--- a/jay/jaylink/error.go
+++ b/jay/jaylink/error.go
@@ -9,7 +9,7 @@
 const (
 	// KindConnect says that nothing was sent: no connection could be had.
 	KindConnect Kind = "connect"
-	// KindWithdrawn says that nothing was sent, since the request was withdrawn meanwhile.
+	// KindWithdrawn means that nothing was sent, since the request was withdrawn meanwhile.
 	KindWithdrawn Kind = "withdrawn"
 	// KindBroken says that the request was sent, wholly or in part, and may have run.
 	KindBroken Kind = "broken"
--- a/jay/jayroster/fanout_test.go
+++ b/jay/jayroster/fanout_test.go
@@ -11,13 +11,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"jayfield.example/jay/jayerror"
-	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
-	"jayfield.example/jay/jaymetric"
-	"jayfield.example/jay/jaypeer"
 	"jayfield.example/jay/jayroster"
 	"jayfield.example/jay/jaystandin"
 	"jayfield.example/jay/jaystore"
@@ -158,19 +153,11 @@
 	network, log := jaystandin.NewNetwork(), slog.New(slog.DiscardHandler)
 	list := make([]jaystore.Record, 0, count)
 	for n := range count {
-		address := fmt.Sprintf("10.0.0.%d:7000", n+1)
-		h := network.Host(address, slowLink)
+		host := network.Host(peerAddress(n), slowLink)
 		i := &policyInstance{version: -1, appliedAt: make(map[int64]time.Time)}
-		self := jaymember.Member{Name: fmt.Sprint("i", n), Incarnation: fmt.Sprintf("%03d", n), Address: address, Peer: address, Region: "r", Zone: "z", Config: -1}
-		i.roster = jayroster.Start(jayroster.Options{
-			Self: self, Source: i, Writer: z.topic, Key: []byte("0123456789abcdef"), Listener: h.Listen(), Log: log,
-			Series: jaymetric.NewExposition(), Client: []jaypeer.ClientOption{jaypeer.WithDialer(h)}, Changed: i.checkLag,
-		})
-		value, _ := msgpack.Marshal(jaylist.Instance{
-			Name: self.Name, Sort: jaylist.SortEntry, Incarnation: self.Incarnation, Address: self.Address, Peer: self.Peer,
-			Region: self.Region, Zone: self.Zone, State: jaylist.StateLive,
-		})
-		list = append(list, jaystore.Record{Key: self.Name, Value: value, Offset: int64(n)})
+		var record jaystore.Record
+		i.roster, record = startPeer(n, host, host.Listen(), i, z.topic, i.checkLag)
+		list = append(list, record)
 		z.instances = append(z.instances, i)
 	}
 	for _, i := range z.instances {
--- a/jay/jayroster/staleness_test.go
+++ b/jay/jayroster/staleness_test.go
@@ -10,12 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
-	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
-	"jayfield.example/jay/jaymetric"
-	"jayfield.example/jay/jaypeer"
 	"jayfield.example/jay/jayroster"
 	"jayfield.example/jay/jaystandin"
 	"jayfield.example/jay/jaystore"
@@ -102,18 +97,10 @@
 	log := slog.New(slog.DiscardHandler)
 	list := make([]jaystore.Record, 0, count)
 	for n := range count {
-		address := fmt.Sprintf("10.0.0.%d:7000", n+1)
-		i := &registryInstance{host: z.network.Host(address, fastLink), removed: make(map[string]time.Time)}
-		self := jaymember.Member{Name: fmt.Sprint("i", n), Incarnation: fmt.Sprintf("%03d", n), Address: address, Peer: address, Region: "r", Zone: "z", Config: -1}
-		i.roster = jayroster.Start(jayroster.Options{
-			Self: self, Source: i, Writer: z.registry, Key: []byte("0123456789abcdef"), Listener: i.host.Listen(), Log: log,
-			Series: jaymetric.NewExposition(), Client: []jaypeer.ClientOption{jaypeer.WithDialer(i.host)}, Changed: func([]jaymember.Status) {},
-		})
-		value, _ := msgpack.Marshal(jaylist.Instance{
-			Name: self.Name, Sort: jaylist.SortEntry, Incarnation: self.Incarnation, Address: self.Address, Peer: self.Peer,
-			Region: self.Region, Zone: self.Zone, State: jaylist.StateLive,
-		})
-		list = append(list, jaystore.Record{Key: self.Name, Value: value, Offset: int64(n)})
+		i := &registryInstance{host: z.network.Host(peerAddress(n), fastLink), removed: make(map[string]time.Time)}
+		var record jaystore.Record
+		i.roster, record = startPeer(n, i.host, i.host.Listen(), i, z.registry, func([]jaymember.Status) {})
+		list = append(list, record)
 		z.instances = append(z.instances, i)
 	}
 	for _, i := range z.instances {
