--- a/jay/jayroster/mesh_test.go
+++ b/jay/jayroster/mesh_test.go
@@ -16,11 +16,12 @@
 // node is the state of one instance in a model of the exchanges.
 type node struct {
 	*state
-	address string
-	work    jaymember.Work
-	dead    bool
-	leaving bool
-	config  int64
+	address  string
+	work     jaymember.Work
+	prefixes []jaymember.CachedPrefix
+	dead     bool
+	leaving  bool
+	config   int64
 }
 
 // mesh is a model of the exchanges of all instances, round by round, with messages that are lost.
@@ -78,6 +79,7 @@
 		_, contacts := n.beginRound(m.now, func(self *jaymember.Member) {
 			self.Config, self.Leaving = n.config, n.leaving
 			self.Work = []jaymember.UpstreamWork{{Upstream: 1, Work: n.work}}
+			self.CachedPrefixes = n.prefixes
 		})
 		for _, c := range contacts {
 			m.exchange(n, c)
@@ -288,3 +290,37 @@
 		t.Error("a digest without reports confirmed a member")
 	}
 }
+
+// Guards against state that grows with time: prefixes that were announced, and members that are gone.
+func TestStateStaysBounded(t *testing.T) {
+	tests := map[string]int{"full mesh": 5, "hubs": 14}
+	for name, count := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(1, count)
+			for round := range 200 {
+				for n, node := range m.living() {
+					node.prefixes = []jaymember.CachedPrefix{{Upstream: uint32(round), Part: uint32(n)}}
+				}
+				if round%4 == 0 {
+					n := m.living()[count-1]
+					n.dead = true
+					m.start(n.view.Self().Zone, n.address)
+					m.list()
+				}
+				m.round()
+			}
+			// Members are evicted after 30 s, in which 15 instances were replaced.
+			limit := count + 30
+			for _, n := range m.living() {
+				if len(n.ledger.prefixes) > 20*count {
+					t.Errorf("%s reports %d prefixes", n.address, len(n.ledger.prefixes))
+				}
+				for incarnation, src := range n.sources {
+					if len(src.members) > limit {
+						t.Errorf("%s holds %d members reported by %s, want at most %d", n.address, len(src.members), incarnation, limit)
+					}
+				}
+			}
+		})
+	}
+}
