--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -108,7 +108,6 @@
 			s.ledger.remove(incarnation)
 		}
 	}
-	s.ledger.prune(now)
 }
 
 // evidence returns when a member was last alive by what this instance may report, and whether it
@@ -124,13 +123,10 @@
 	return at, ok
 }
 
-// prune drops what belongs to members that are gone.
+// prune drops what belongs to members that are gone, and prefixes that are no longer reported.
 func (s *state) prune(now time.Time, members []jaymember.Status) {
-	for incarnation, src := range s.sources {
-		if now.Sub(src.at) > sourceTTL {
-			delete(s.sources, incarnation)
-		}
-	}
+	s.ledger.prune(now)
+	maps.DeleteFunc(s.sources, func(_ string, src *source) bool { return now.Sub(src.at) > sourceTTL })
 	for incarnation, p := range s.positions {
 		if now.Sub(p.sentAt) > sourceTTL {
 			delete(s.positions, incarnation)
@@ -143,6 +139,9 @@
 	for _, seed := range s.view.Seeds() {
 		addresses[seed.Peer] = true
 	}
+	for _, src := range s.sources {
+		maps.DeleteFunc(src.members, func(_ uint32, m *reportedMember) bool { return !m.state.Alive && !known[m.identity.Incarnation] })
+	}
 	maps.DeleteFunc(s.directAt, func(incarnation string, _ time.Time) bool { return !known[incarnation] })
 	maps.DeleteFunc(s.zoneAt, func(incarnation string, _ time.Time) bool { return !known[incarnation] })
 	maps.DeleteFunc(s.peers, func(address string, p *peer) bool { return p.sentAt.IsZero() && !addresses[address] })
