Stop the connections of all limits together in a planned stop

Cause: each change of the connection limits makes a further http.Server. Server.Stop shut them down one after the other, and each waits for its last request. Idle connections of the later servers stayed open meanwhile and took requests for which no time was left. The server of the initial limits counts as one. Related: Configure during a stop made a server that nobody stopped, so Stop never returned; a connection accepted while the limits changed was held until the end of the grace period; http.Server.Shutdown itself closes a connection after it has read a request whole, without an answer.

Change: Server.Stop accepts what is already established, closes the listener, then closes the idle connections of all servers at once, by their read deadline, so that a request that arrives at that moment is either served or not read. A connection counts as idle only if no byte has arrived since its last response. Responses written after the begin of the stop announce the end of their connection. Limits no longer change during a stop.

--- /dev/null
+++ b/jay/jayrelay/conn.go
@@ -0,0 +1,70 @@
+package jayrelay
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// newConnTime is how long a connection without a request is kept open during a stop: callers send
+// their request as soon as the connection is established.
+const newConnTime = time.Second
+
+// callerConn is a connection of a caller. It records whether it is idle, more exactly than the HTTP
+// server, to which a connection is idle until the header of the next request is complete.
+type callerConn struct {
+	net.Conn
+	acceptedAt time.Time
+	state      atomic.Int64
+	// received is set if bytes have arrived since the last write: they belong to a request
+	// that has not been answered.
+	received atomic.Bool
+}
+
+func newCallerConn(conn net.Conn) *callerConn {
+	return &callerConn{Conn: conn, acceptedAt: time.Now()}
+}
+
+// Read reads a part of a request.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received.Store(true)
+	}
+	return n, err //nolint:wrapcheck // The HTTP server depends on the errors of net.Conn.
+}
+
+// Write writes a part of a response.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.received.Store(false)
+	return c.Conn.Write(p) //nolint:wrapcheck // The HTTP server depends on the errors of net.Conn.
+}
+
+// setState sets the state that the HTTP server reports.
+func (c *callerConn) setState(state http.ConnState) {
+	c.state.Store(int64(state))
+}
+
+// idle reports whether the connection carries no request, not even a part of one.
+func (c *callerConn) idle(now time.Time) bool {
+	if c.received.Load() {
+		return false
+	}
+	switch http.ConnState(c.state.Load()) {
+	case http.StateIdle:
+		return true
+	case http.StateNew:
+		return now.Sub(c.acceptedAt) > newConnTime
+	default:
+		return false
+	}
+}
+
+// expire makes the HTTP server close the connection if it is idle. A request that arrives at this
+// moment is either served or not read at all, so that its caller may send it elsewhere.
+func (c *callerConn) expire(now time.Time) {
+	if c.idle(now) {
+		_ = c.SetReadDeadline(now) // It fails only if the connection is closed.
+	}
+}
--- a/jay/jayrelay/server.go
+++ b/jay/jayrelay/server.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -32,7 +33,11 @@
 	limits   jaytraffic.Limits
 	current  *generation
 	servers  []*http.Server
+	conns    map[*callerConn]bool
 	draining bool
+	stopped  bool
+	// accepted is closed when no more connections are accepted and all have been assigned.
+	accepted chan struct{}
 }
 
 // generation is the HTTP server, and its listener, for the connections accepted under
@@ -47,17 +52,18 @@
 
 // NewServer starts to accept connections from a listener and takes ownership of it.
 func NewServer(listener net.Listener, handler http.Handler, log *slog.Logger) *Server {
-	s := &Server{listener: listener, handler: handler, log: log, group: jaytask.NewGroup()}
+	s := &Server{listener: listener, handler: handler, log: log, group: jaytask.NewGroup(), conns: make(map[*callerConn]bool), accepted: make(chan struct{})}
 	s.Configure(jaytraffic.Limits{Header: initialMaxHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout})
 	s.group.Go(s.accept)
 	return s
 }
 
-// Configure sets the limits of connections that are accepted from now on.
+// Configure sets the limits of connections that are accepted from now on. It does nothing once the
+// server is being stopped.
 func (s *Server) Configure(limits jaytraffic.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if limits == s.limits {
+	if s.stopped || limits == s.limits {
 		return
 	}
 	s.limits = limits
@@ -67,6 +73,7 @@
 		MaxHeaderBytes:    limits.Header,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
+		ConnState:         s.track,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
 	if s.current != nil {
@@ -93,41 +100,115 @@
 	s.draining = true
 }
 
-// Stop stops accepting connections, waits for requests in progress until ctx ends,
-// and closes the remaining connections.
+// Stop stops accepting connections, waits for requests in progress until ctx ends, and closes the
+// remaining connections. It does not use http.Server.Shutdown, which closes connections after it has
+// read a request, without an answer.
 func (s *Server) Stop(ctx context.Context) {
-	_ = s.listener.Close()
+	s.stopAccepting()
 	s.mu.Lock()
+	s.stopped, s.draining = true, true
 	servers := s.servers
 	s.mu.Unlock()
+	s.waitForRequests(ctx)
 	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
-			s.log.Warn("closing connections with requests in progress", "error", err)
-			_ = server.Close()
-		}
+		_ = server.Close()
 	}
 	s.group.Stop()
 }
 
-func (s *Server) accept(ctx context.Context) {
+// waitForRequests closes idle connections until none is left or ctx ends.
+func (s *Server) waitForRequests(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
 	for {
-		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		open := s.expireIdle(time.Now())
+		if open == 0 {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			s.log.Warn("closing connections with requests in progress", "connections", open)
 			return
 		}
-		if err != nil {
+	}
+}
+
+// expireIdle closes idle connections and returns the number of those that are open.
+func (s *Server) expireIdle(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		conn.expire(now)
+	}
+	return len(s.conns)
+}
+
+// track records the state of a connection.
+func (s *Server) track(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	c.setState(state)
+	if state == http.StateClosed || state == http.StateHijacked {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
+	}
+}
+
+// stopAccepting accepts the connections that are already established, then closes the listener. It
+// returns once all connections have been assigned.
+func (s *Server) stopAccepting() {
+	if listener, ok := s.listener.(interface{ SetDeadline(t time.Time) error }); ok {
+		if err := listener.SetDeadline(time.Now().Add(backlogTime)); err == nil {
+			<-s.accepted
+		}
+	}
+	_ = s.listener.Close()
+	<-s.accepted
+}
+
+const (
+	// acceptBackoff is the delay after a failed accept, which is mostly caused by a lack
+	// of file descriptors.
+	acceptBackoff = 20 * time.Millisecond
+	// backlogTime is how long connections that are already established may take to be accepted
+	// before the listener is closed, which resets the others.
+	backlogTime = 20 * time.Millisecond
+	// expireInterval is the time between two searches for idle connections during a stop.
+	expireInterval = 20 * time.Millisecond
+)
+
+func (s *Server) accept(ctx context.Context) {
+	defer close(s.accepted)
+	for ctx.Err() == nil {
+		conn, err := s.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+			return
+		case err != nil:
 			s.log.Warn("cannot accept connection", "error", err)
 			time.Sleep(acceptBackoff)
-			continue
+		default:
+			s.assign(ctx, newCallerConn(conn))
 		}
+	}
+}
+
+// assign passes a connection to the HTTP server for the current limits.
+func (s *Server) assign(ctx context.Context, conn *callerConn) {
+	for {
 		s.mu.Lock()
 		g := s.current
+		s.conns[conn] = true
 		s.mu.Unlock()
 		select {
 		case g.conns <- conn:
+			return
 		case <-g.done:
 			// The limits have just changed; the new ones apply to the connection.
-			s.assign(ctx, conn)
 		case <-ctx.Done():
 			_ = conn.Close()
 			return
@@ -135,29 +216,48 @@
 	}
 }
 
-// acceptBackoff is the delay after a failed accept, which is mostly caused by a lack
-// of file descriptors.
-const acceptBackoff = 20 * time.Millisecond
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	writer := &closingWriter{ResponseWriter: w, draining: s.isDraining}
+	s.handler.ServeHTTP(writer, r)
+	if !writer.wroteHeader {
+		writer.WriteHeader(http.StatusOK)
+	}
+}
 
-func (s *Server) assign(ctx context.Context, conn net.Conn) {
+func (s *Server) isDraining() bool {
 	s.mu.Lock()
-	g := s.current
-	s.mu.Unlock()
-	select {
-	case g.conns <- conn:
-	case <-ctx.Done():
-		_ = conn.Close()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// closingWriter announces in the header of a response that the connection is closed after it, if the
+// server is draining by then.
+type closingWriter struct {
+	http.ResponseWriter
+	draining    func() bool
+	wroteHeader bool
+}
+
+// Unwrap returns the writer of the HTTP server, for http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter {
+	return w.ResponseWriter
+}
+
+// Write sends a part of the body.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	if !w.wroteHeader {
+		w.WriteHeader(http.StatusOK)
 	}
+	return w.ResponseWriter.Write(p) //nolint:wrapcheck // The caller adds its operation.
 }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	draining := s.draining
-	s.mu.Unlock()
-	if draining {
+// WriteHeader sends the header.
+func (w *closingWriter) WriteHeader(status int) {
+	w.wroteHeader = true
+	if w.draining() {
 		w.Header().Set("Connection", "close")
 	}
-	s.handler.ServeHTTP(w, r)
+	w.ResponseWriter.WriteHeader(status)
 }
 
 // Accept returns the next connection of the generation.
