Refuse requests that outlast a planned stop, and answer those still in progress

What callers saw: requests that came late in the grace period were passed on and cut off without an answer when it ended, among them requests that may not be repeated (report of another operator).

Cause: an instance that was leaving took every request until it stopped accepting connections, whatever time was left, and closed the connections of those in progress at the end. Addresses of instances that accepted no more connections were still returned when a whole site was leaving.

Change: package jaystop plans a stop. A request whose deadline is after the end is taken only while its caller may have a cached address, and one that may run once only if no other instance takes it. Others are refused at once as not run, with the addresses of instances that take them and a time to come back. An instance that is about to accept no more connections reports no configuration, so it is no longer returned to callers.

Evidence: TestLateRequestInStopIsNotCutOff failed on ("ran and got no answer: EOF", sent 3.3 s after the begin of a stop with a grace period of 4 s) and passes now.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -22,6 +22,7 @@
 	"jayfield.example/jay/jayplace"
 	"jayfield.example/jay/jayrelay"
 	"jayfield.example/jay/jayroster"
+	"jayfield.example/jay/jaystop"
 	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jaytask"
 	"jayfield.example/jay/jaytraffic"
@@ -49,10 +50,6 @@
 	sweepInterval = time.Second
 	// headerTimeout is the time limit for reading the header of a request to the instance itself.
 	headerTimeout = 5 * time.Second
-	// stopMargin is the part of the grace period that is left for the process to exit.
-	stopMargin = 700 * time.Millisecond
-	// cacheLifetimes is the number of lifetimes for which some callers cache the addresses.
-	cacheLifetimes = 3
 	// leaveTimeout limits the write to the store which announces that the instance leaves.
 	leaveTimeout = time.Second
 	// retryInterval and retryBurst limit the calls of an instance to an unavailable store. With
@@ -76,11 +73,14 @@
 	// retryLimiter limits the calls to an unavailable store.
 	retryLimiter *rate.Limiter
 	pool         *jaylink.Pool
+	relay        *jayrelay.Relay
 	server       *jayrelay.Server
 	roster       *jayroster.Roster
 	group        *jaytask.Group
 	servers      []*http.Server
 	leaving      atomic.Bool
+	// closed is set during a planned stop, shortly before no more connections are accepted.
+	closed atomic.Bool
 	// lifetime is how long callers may cache entry addresses, as a time.Duration.
 	lifetime       atomic.Int64
 	members        atomic.Pointer[[]jaymember.Status]
@@ -154,23 +154,24 @@
 	e.placer.fillWork(e.group.Context(), member)
 }
 
-// Stop stops the instance. Requests that end within the grace period, less stopMargin, are not cut off.
+// Stop stops the instance by the plan of package jaystop: requests that it takes end within the grace
+// period, except some that were taken before callers could know of the stop.
 func (e *Edge) Stop() {
 	began := time.Now()
+	plan := jaystop.NewPlan(began, e.settings.Grace, time.Duration(e.lifetime.Load()))
 	e.leaving.Store(true)
+	timer := e.relay.BeginStop(plan)
+	defer timer.Stop()
 	e.server.Drain()
 	e.log.Info("instance leaving", "instance", e.self.Name, "grace", e.settings.Grace)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.settings.Grace-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End())
 	defer cancel()
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
 	e.roster.Leave(leaveCtx)
 	cancelLeave()
-	// Callers use cached addresses of the instance for some lifetimes.
-	cached := min(cacheLifetimes*e.settings.Lifetime, e.settings.Grace/2)
-	select {
-	case <-time.After(time.Until(began.Add(cached))):
-	case <-ctx.Done():
-	}
+	waitUntil(ctx, plan.Open())
+	e.closed.Store(true)
+	waitUntil(ctx, plan.Closed())
 	e.server.Stop(ctx)
 	for _, server := range e.servers {
 		_ = server.Close()
@@ -182,20 +183,40 @@
 	e.log.Info("instance stopped", "instance", e.self.Name, "took", time.Since(began))
 }
 
-// fillStatus fills in whether the instance is leaving and, once it can serve requests, the
+// waitUntil waits until a point in time or until ctx ends.
+func waitUntil(ctx context.Context, at time.Time) {
+	select {
+	case <-time.After(time.Until(at)):
+	case <-ctx.Done():
+	}
+}
+
+// others returns the addresses of other instances that take requests, near ones first.
+func (e *Edge) others() []string {
+	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Load balancing needs no secrecy.
+	var addresses []string
+	for _, m := range jayentry.Near(e.self.Region, e.self.Zone, *e.members.Load(), source) {
+		if m.Usable() {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
+// fillStatus fills in whether the instance is leaving and, while it can serve requests, the
 // version of its policy.
 func (e *Edge) fillStatus(member *jaymember.Member) {
-	member.Leaving = e.leaving.Load()
-	if policy := e.policies.Policy(); policy != nil && e.placer.loaded.Load() {
+	member.Leaving, member.Config = e.leaving.Load(), -1
+	if policy := e.policies.Policy(); policy != nil && e.placer.loaded.Load() && !e.closed.Load() {
 		member.Config = policy.Version
 	}
 }
 
 // listen opens all listeners and serves them.
 func (e *Edge) listen(adapter Adapter, store Store) error {
-	relay := jayrelay.New(jayrelay.Options{
+	e.relay = jayrelay.New(jayrelay.Options{
 		Policies: e.policies, Placer: e.placer, Budget: e.budgets, Links: e.pool,
-		Dialect: adapter.Dialect(), Metrics: e.metrics, Series: e.series, Log: e.log,
+		Dialect: adapter.Dialect(), Metrics: e.metrics, Series: e.series, Log: e.log, Others: e.others,
 	})
 	listeners := make(map[string]net.Listener)
 	for _, address := range []string{e.settings.Caller, e.settings.Ready, e.settings.Entry, e.settings.Peer, e.settings.Metric} {
@@ -211,7 +232,7 @@
 		}
 		listeners[address] = listener
 	}
-	e.server = jayrelay.NewServer(listeners[e.settings.Caller], relay, e.log)
+	e.server = jayrelay.NewServer(listeners[e.settings.Caller], e.relay, e.log)
 	e.serve(listeners[e.settings.Ready], adapter.ReadyHandler(e.Ready))
 	e.serve(listeners[e.settings.Entry], adapter.EntryHandler(e))
 	if listener, ok := listeners[e.settings.Metric]; ok {
--- a/jay/jaymember/view.go
+++ b/jay/jaymember/view.go
@@ -65,6 +65,10 @@
 	}
 	known.Leaving = known.Leaving || member.Leaving
 	known.Config = max(known.Config, member.Config)
+	if member.Leaving && member.Config < 0 {
+		// It accepts no more callers.
+		known.Config = member.Config
+	}
 	if alive {
 		known.ReceivedAt = now
 		known.Silent = false
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -22,6 +22,7 @@
 	"jayfield.example/jay/jaylink"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jayplace"
+	"jayfield.example/jay/jaystop"
 	"jayfield.example/jay/jaytraffic"
 )
 
@@ -78,6 +79,12 @@
 	log      *slog.Logger
 	// buffered is the size of the large bodies that are being read.
 	buffered atomic.Int64
+	others   func() []string
+	// stop is the plan of the planned stop, nil before it begins.
+	stop atomic.Pointer[jaystop.Plan]
+	// endAll ends all requests in progress, and onEnd calls a function when that happens.
+	endAll func()
+	onEnd  func(f func()) (cancel func() bool)
 }
 
 // Options are the dependencies of a relay.
@@ -90,14 +97,22 @@
 	Metrics  *jaymetric.Set
 	Series   *jaymetric.Exposition
 	Log      *slog.Logger
+	// Others returns the addresses of other instances that take requests; nil if there are none.
+	Others func() []string
 }
 
 // New returns a relay with the given dependencies.
 func New(options Options) *Relay {
-	return &Relay{
+	ending, endAll := context.WithCancel(context.Background())
+	r := &Relay{
 		policies: options.Policies, placer: options.Placer, budget: options.Budget, links: options.Links,
-		dialect: options.Dialect, metrics: options.Metrics, series: options.Series, log: options.Log,
+		dialect: options.Dialect, metrics: options.Metrics, series: options.Series, log: options.Log, others: options.Others,
+		endAll: endAll, onEnd: func(f func()) func() bool { return context.AfterFunc(ending, f) },
 	}
+	if r.others == nil {
+		r.others = func() []string { return nil }
+	}
+	return r
 }
 
 const (
@@ -114,12 +129,20 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.metrics.Add(jaymetric.Requests, 1)
 	x := &exchange{Relay: r, writer: w, request: request, began: time.Now(), avoid: make(map[string]bool)}
-	if err := x.admit(); err != nil {
+	err := x.admit()
+	if err == nil {
+		err = x.admitDuringStop(time.Now())
+	}
+	if err != nil {
 		x.fail(err)
 		return
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), x.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	cancelEnd := r.onEnd(func() { end(errStopped) })
+	defer cancelEnd()
 	if x.route.Kind == jaytraffic.KindStream {
 		x.serveStream(ctx)
 		return
--- /dev/null
+++ b/jay/jayrelay/stop.go
@@ -0,0 +1,39 @@
+package jayrelay
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jaystop"
+)
+
+// errStopped is the cause of the end of requests that are still in progress at the end of a planned
+// stop.
+var errStopped = errors.New("the instance has stopped")
+
+// BeginStop applies the plan of a planned stop to the requests in progress and to later ones. The
+// timer that it returns ends those in progress at the deadline of the plan.
+func (r *Relay) BeginStop(plan jaystop.Plan) *time.Timer {
+	r.stop.Store(&plan)
+	return time.AfterFunc(time.Until(plan.Deadline()), r.endAll)
+}
+
+// admitDuringStop returns a refusal for a request that the instance, which is stopping, does not take.
+func (x *exchange) admitDuringStop(now time.Time) error {
+	plan := x.stop.Load()
+	if plan == nil {
+		return nil
+	}
+	others := x.others()
+	if plan.Admits(now, jaystop.Request{Deadline: x.deadline, Repeatable: x.route.Repeatable()}, len(others) > 0) {
+		return nil
+	}
+	reason := "the instance is leaving and no other one takes requests"
+	if len(others) > 0 {
+		reason = "the instance is leaving; these take requests: " + strings.Join(others, ", ")
+	}
+	return x.refusal(http.StatusServiceUnavailable, plan.RetryAfter(now, len(others) > 0), reason)
+}
