Bound what a copy of a topic supplies by the begin of its history

Change: a mirror knows the offset from which on it has all removals and answers readers that are behind it with KindExpired, so that they take all keys. Hedged reads return holders instead of writing them.

The stand-in network closes the connections of a failed dial.

--- a/jay/jayroster/mirrorserver.go
+++ b/jay/jayroster/mirrorserver.go
@@ -40,11 +40,14 @@
 	Records []jaystore.Record `msgpack:"r"`
 	// Compressed holds the records if they are compressed.
 	Compressed []byte `msgpack:"z,omitempty"`
-	// Next is the offset after all that the instance has read, -1 before its first read or
-	// with Busy.
+	// Next is the offset after all that the instance has read, -1 before its first read and
+	// with Expired or Busy.
 	Next int64 `msgpack:"n"`
 	// Age is the time since the last answer of the store that the records reflect.
 	Age time.Duration `msgpack:"a,omitempty"`
+	// Expired is set if the instance may not know all removals since the offset: the receiver
+	// has to request the records of all keys.
+	Expired bool `msgpack:"e,omitempty"`
 	// Busy is set if the instance already sends as many large replies as it may. Holders are
 	// then addresses of instances that have received the records.
 	Busy    bool     `msgpack:"b,omitempty"`
@@ -88,7 +91,10 @@
 	if !ok {
 		return nil, jayerror.Newf("mirror", KindFormat, "topic %q is not mirrored", req.Topic)
 	}
-	records, next := mirror.From(req.From)
+	records, next, err := mirror.From(req.From)
+	if jayerror.Is(err, jaystore.KindExpired) {
+		return s.encode(mirrorReply{Next: -1, Expired: true})
+	}
 	_, readAt := mirror.Position()
 	data, err := s.reply(req, records, next, time.Since(readAt))
 	if err != nil {
--- a/jay/jayroster/roster_test.go
+++ b/jay/jayroster/roster_test.go
@@ -247,7 +247,7 @@
 				t.Fatal(err)
 			}
 			waitFor(t, "the record at the rejected instance", func() bool {
-				records, _ := rejected.mirror.From(0)
+				records, _, _ := rejected.mirror.From(-1)
 				return slices.ContainsFunc(records, func(r jaystore.Record) bool { return r.Key == "news" })
 			})
 		})
--- a/jay/jayroster/staleness_test.go
+++ b/jay/jayroster/staleness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -31,15 +32,31 @@
 }
 
 func (r *registry) remove(id string) {
+	r.append(id, nil)
+}
+
+func (r *registry) put(id string) {
+	r.append(id, []byte("ready"))
+}
+
+func (r *registry) append(id string, value []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.records = append(r.records, jaystore.Record{Key: id, Offset: int64(len(r.records))})
+	r.records = append(r.records, jaystore.Record{Key: id, Value: value, Offset: int64(len(r.records))})
 }
 
 func (*registry) Put(context.Context, jaystore.Topic, string, []byte) error { return nil }
 
+// Newest returns the newest record of each key, without those of removed keys.
 func (r *registry) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
-	return r.Read(ctx, topic, 0, nil)
+	records, end, err := r.Read(ctx, topic, 0, nil)
+	newest := make(map[string]jaystore.Record)
+	for _, record := range records {
+		newest[record.Key] = record
+	}
+	return slices.DeleteFunc(records, func(record jaystore.Record) bool {
+		return newest[record.Key].Offset != record.Offset || len(record.Value) == 0
+	}), end, err
 }
 
 func (r *registry) Read(_ context.Context, _ jaystore.Topic, from int64, _ <-chan struct{}) ([]jaystore.Record, int64, error) {
@@ -54,10 +71,15 @@
 	host    *jaystandin.Host
 	roster  *jayroster.Roster
 	mu      sync.Mutex
+	known   map[string]bool
 	removed map[string]time.Time
 	leaving bool
 }
 
+func newRegistryInstance(host *jaystandin.Host) *registryInstance {
+	return &registryInstance{host: host, known: make(map[string]bool), removed: make(map[string]time.Time)}
+}
+
 func (i *registryInstance) FillHeartbeat(m *jaymember.Member) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -66,18 +88,39 @@
 
 func (i *registryInstance) Replace(ctx context.Context, records []jaystore.Record, _ int64) {
 	i.Apply(ctx, records)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	present := make(map[string]bool)
+	for _, r := range records {
+		present[r.Key] = true
+		i.known[r.Key] = true
+	}
+	for id := range i.known {
+		if _, ok := i.removed[id]; !ok && !present[id] {
+			i.removed[id] = time.Now()
+		}
+	}
 }
 
 func (i *registryInstance) Apply(_ context.Context, records []jaystore.Record) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, r := range records {
-		if _, ok := i.removed[r.Key]; !ok {
+		i.known[r.Key] = true
+		if _, ok := i.removed[r.Key]; !ok && len(r.Value) == 0 {
 			i.removed[r.Key] = time.Now()
 		}
 	}
 }
 
+// removal returns when the instance applied the removal of an upstream, and whether it did.
+func (i *registryInstance) removal(id string) (time.Time, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	at, ok := i.removed[id]
+	return at, ok
+}
+
 func (*registryInstance) Unavailable(context.Context, error) {}
 
 func (*registryInstance) Available(context.Context) {}
@@ -97,7 +140,7 @@
 	log := slog.New(slog.DiscardHandler)
 	list := make([]jaystore.Record, 0, count)
 	for n := range count {
-		i := &registryInstance{host: z.network.Host(peerAddress(n), fastLink), removed: make(map[string]time.Time)}
+		i := newRegistryInstance(z.network.Host(peerAddress(n), fastLink))
 		var record jaystore.Record
 		i.roster, record = startPeer(n, i.host, i.host.Listen(), i, z.registry, func([]jaymember.Status) {})
 		list = append(list, record)
@@ -186,9 +229,7 @@
 func (z *registryZone) check(t *testing.T, seed uint64, id string, removedAt time.Time, frozen map[int]bool) {
 	t.Helper()
 	for n, i := range z.instances {
-		i.mu.Lock()
-		at, ok := i.removed[id]
-		i.mu.Unlock()
+		at, ok := i.removal(id)
 		if took := at.Sub(removedAt); !frozen[n] && (!ok || took > drainTime) {
 			t.Errorf("seed %d: instance %d applied the removal of %s after %s, want at most %s", seed, n, id, took, drainTime)
 		}
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -69,9 +69,11 @@
 
 // Newest returns the newest record of each key.
 func (t *TopicReader) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+	// A copy that is older than the own one would bring back what has been removed.
+	own := t.mirror.Next()
 	if p, ok := t.zonePosition(); ok {
-		if f := t.fetch(ctx, p.peer, -1, fetchBound); f.result == resultFetched {
-			t.markRead(f.at, f.next, f.records)
+		if f := t.fetch(ctx, p.peer, -1, fetchBound); f.result == resultFetched && f.next >= own {
+			t.mirror.MarkPending(f.at, f.next)
 			return f.records, f.next, nil
 		}
 	}
@@ -80,8 +82,8 @@
 		t.mirror.MarkPending(time.Now(), end)
 		return list, end, nil
 	}
-	if f, ok := t.fetchFallback(ctx, -1); ok && f.next > -1 {
-		t.markRead(f.at, f.next, f.records)
+	if f, ok := t.fetchFallback(ctx, -1); ok && f.next > -1 && f.next >= own {
+		t.mirror.MarkPending(f.at, f.next)
 		return f.records, f.next, nil
 	}
 	return nil, 0, err //nolint:wrapcheck // The store's errors are those of jaystore.
@@ -93,8 +95,11 @@
 	if t.minInterval > 0 {
 		return t.readPolled(ctx, from)
 	}
-	if list, next, ok := t.readZone(ctx, from, interrupt); ok {
+	switch list, next, result := t.readZone(ctx, from, interrupt); result {
+	case pollRead:
 		return list, next, nil
+	case pollExpired:
+		return nil, from, errExpired(from)
 	}
 	list, next, err := t.store.Read(ctx, topic, from, interrupt)
 	// The reply to a long poll reflects the store when the poll ends, so the time is taken now.
@@ -109,9 +114,14 @@
 	p, ok := t.zonePosition()
 	switch {
 	case ok && p.next > from:
-		if f := t.fetch(ctx, t.supplier(p, from), from, polledFetchBound); f.result == resultFetched {
+		switch f := t.fetch(ctx, t.supplier(p, from), from, polledFetchBound); f.result {
+		case resultFetched:
 			t.markRead(f.at, f.next, f.records)
 			return f.records, f.next, nil
+		case resultExpired:
+			return nil, from, errExpired(from)
+		case resultBusy:
+			t.holders, t.holdersFrom = f.holders, from
 		}
 	case ok:
 		t.mirror.MarkRead(p.at, from)
@@ -180,23 +190,28 @@
 		return a.records, a.next, nil
 	}
 	if jayerror.Is(a.err, jaystore.KindUnavailable) {
-		if f, ok := t.fetchFallback(ctx, from); ok && f.next > from {
+		f, ok := t.fetchFallback(ctx, from)
+		if ok && f.next > from {
 			t.markRead(f.at, f.next, f.records)
 			return f.records, f.next, a.err
 		}
+		if f.result == resultExpired {
+			return nil, from, errExpired(from)
+		}
 	}
 	return a.records, a.next, a.err
 }
 
 // readZone returns records from an instance of the zone that has some; it waits until there are,
-// unless interrupt is nil. It reports false if the store is to be read.
-func (t *TopicReader) readZone(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, bool) {
+// unless interrupt is nil. Its result is pollRead, pollExpired or, if the store is to be read,
+// pollUnusable.
+func (t *TopicReader) readZone(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, pollResult) {
 	wait, busySince := interrupt != nil, time.Time{}
 	for ctx.Err() == nil {
 		changed, pause := t.roster.positions.onChange(), zonePollInterval
 		list, next, result := t.pollZone(ctx, from, wait)
-		if result == pollRead {
-			return list, next, true
+		if result == pollRead || result == pollExpired {
+			return list, next, result
 		}
 		if result == pollBusy {
 			// The records that an interrupt would be about are about to be transferred.
@@ -206,17 +221,17 @@
 			}
 		}
 		if result == pollUnusable || !busySince.IsZero() && time.Since(busySince) > maxBusyWait {
-			return nil, 0, false
+			return nil, 0, pollUnusable
 		}
 		select {
 		case <-time.After(pause):
 		case <-changed:
 		case <-interrupt:
-			return nil, 0, false
+			return nil, 0, pollUnusable
 		case <-ctx.Done():
 		}
 	}
-	return nil, 0, false
+	return nil, 0, pollUnusable
 }
 
 // pollResult is the result of one check for records in the zone.
@@ -228,6 +243,9 @@
 	pollEmpty pollResult = "empty"
 	// pollBusy means that an instance has records but too many transfers in progress.
 	pollBusy pollResult = "busy"
+	// pollExpired means that the records of all keys are to be read, since the instance may not
+	// know all removals.
+	pollExpired pollResult = "expired"
 	// pollUnusable means that the store is to be read instead.
 	pollUnusable pollResult = "unusable"
 )
@@ -261,7 +279,10 @@
 		t.markRead(f.at, f.next, f.records)
 		return f.records, f.next, pollRead
 	case resultBusy:
+		t.holders, t.holdersFrom = f.holders, from
 		return nil, from, pollBusy
+	case resultExpired:
+		return nil, from, pollExpired
 	default:
 		return nil, 0, pollUnusable
 	}
@@ -274,6 +295,8 @@
 	resultFetched fetchResult = "fetched"
 	// resultBusy means that the other instance has too many transfers in progress.
 	resultBusy fetchResult = "busy"
+	// resultExpired means that the other instance may not know all removals since the offset.
+	resultExpired fetchResult = "expired"
 	// resultFailed means that the request failed or that the instance has read less than asked for.
 	resultFailed fetchResult = "failed"
 )
@@ -285,6 +308,13 @@
 	// at is when the store last answered the other instance, at the latest.
 	at     time.Time
 	result fetchResult
+	// holders are the addresses of instances that have the records, with resultBusy.
+	holders []string
+}
+
+// errExpired returns the error that makes a follower read the records of all keys.
+func errExpired(from int64) error {
+	return jayerror.Newf("fetch", jaystore.KindExpired, "removals since offset %d are not known to the other instance", from)
 }
 
 // fetch requests records from the instance at an address.
@@ -293,8 +323,10 @@
 	request := mirrorRequest{Topic: t.topic, From: from, Receiver: t.roster.self.Incarnation, Peer: t.roster.self.Peer}
 	reply, err := t.ask(ctx, address, request, bound)
 	if err == nil && reply.Busy {
-		t.holders, t.holdersFrom = reply.Holders, from
-		return fetched{result: resultBusy}
+		return fetched{result: resultBusy, holders: reply.Holders}
+	}
+	if err == nil && reply.Expired {
+		return fetched{result: resultExpired}
 	}
 	if err == nil && reply.Compressed != nil {
 		reply.Records, err = t.roster.codec.decompress(reply.Compressed)
--- a/jay/jaystandin/network.go
+++ b/jay/jaystandin/network.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	stderrors "errors"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -95,9 +96,9 @@
 	case l.conns <- far:
 		return near, nil
 	case <-l.closed:
-		return nil, net.ErrClosed
+		return nil, errors.WithStack(stderrors.Join(net.ErrClosed, near.Close(), far.Close()))
 	case <-ctx.Done():
-		return nil, errors.WithStack(ctx.Err())
+		return nil, errors.WithStack(stderrors.Join(ctx.Err(), near.Close(), far.Close()))
 	}
 }
 
--- a/jay/jaystore/mirror.go
+++ b/jay/jaystore/mirror.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"jayfield.example/jay/jayerror"
 )
 
 // Mirror forwards records to a consumer and keeps the newest record of each key
@@ -17,8 +19,11 @@
 	same    func(prev, record Record) bool
 	mu      sync.Mutex
 	records map[string]Record
+	// begin is the offset from which on the mirror knows all removals: a snapshot does not contain
+	// those before its end.
+	begin int64
 	// next is the offset after all records that were read, changed the offset after the last
-	// record that was kept.
+	// record that was kept or the last snapshot.
 	next, changed int64
 	readAt        time.Time
 	// pending is the read whose records are still to be applied, nil if there is none.
@@ -91,10 +96,15 @@
 }
 
 // From returns the newest records of the keys that changed from an offset on, in
-// the order of their offsets, and the offset after all records that were read.
-func (m *Mirror) From(offset int64) ([]Record, int64) {
+// the order of their offsets, and the offset after all records that were read. A negative
+// offset selects all keys. The error is of KindExpired if the mirror may not know all
+// removals since the offset: the reader has to replace its copy by that of all keys.
+func (m *Mirror) From(offset int64) ([]Record, int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if offset >= 0 && m.next >= 0 && offset < m.begin {
+		return nil, m.next, jayerror.Newf("mirror", KindExpired, "removals since offset %d are not known", offset)
+	}
 	var records []Record
 	for _, r := range m.records {
 		if r.Offset >= offset {
@@ -102,7 +112,14 @@
 		}
 	}
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	return records, m.next
+	return records, m.next, nil
+}
+
+// Next returns the offset after all records that were read, -1 before the first read.
+func (m *Mirror) Next() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.next
 }
 
 // Position returns the offset after the last record that other instances need, -1
@@ -124,10 +141,13 @@
 		if !present[key] && r.Offset < end {
 			// The tombstone is kept for instances that have read less of the topic.
 			m.records[key] = Record{Key: key, Offset: end - 1}
-			m.changed = max(m.changed, end)
 		}
 	}
 	m.put(records)
+	if end > m.next {
+		m.begin = end
+	}
+	m.changed = max(m.changed, end)
 	m.commitRead()
 	m.mu.Unlock()
 	m.Consumer.Replace(ctx, records, end)
--- a/jay/jaystore/mirror_test.go
+++ b/jay/jaystore/mirror_test.go
@@ -37,8 +37,8 @@
 				mirror.Apply(t.Context(), []jaystore.Record{{Key: "e1", Value: []byte(value), Offset: int64(offset)}})
 				mirror.MarkRead(time.Unix(1000, 0), int64(offset)+1)
 			}
-			records, next := mirror.From(0)
-			if next != int64(len(test.values)) || len(records) != len(test.offsets) || records[0].Offset != test.offsets[0] {
+			records, next, err := mirror.From(0)
+			if err != nil || next != int64(len(test.values)) || len(records) != len(test.offsets) || records[0].Offset != test.offsets[0] {
 				t.Errorf("records = %v, next = %d, want offsets %v", records, next, test.offsets)
 			}
 			if changed, _ := mirror.Position(); changed != test.changed {
@@ -61,15 +61,15 @@
 			mirror.Apply(t.Context(), []jaystore.Record{{Key: "a", Value: []byte("1")}})
 			mirror.MarkRead(time.Unix(1000, 0), 1)
 			mirror.MarkPending(time.Unix(1001, 0), 2)
-			if records, next := mirror.From(1); len(records) != 0 || next != 1 {
-				t.Errorf("records = %v, next = %d before they are applied", records, next)
+			if records, next, err := mirror.From(1); err != nil || len(records) != 0 || next != 1 {
+				t.Errorf("records = %v, next = %d, %v before they are applied", records, next, err)
 			}
 			if _, readAt := mirror.Position(); !readAt.Equal(time.Unix(1000, 0)) {
 				t.Errorf("read at %s before the records are applied", readAt)
 			}
 			apply(mirror, []jaystore.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2"), Offset: 1}})
-			if records, next := mirror.From(1); len(records) != 1 || next != 2 {
-				t.Errorf("records = %v, next = %d", records, next)
+			if records, next, err := mirror.From(-1); err != nil || len(records) != 2 || next != 2 {
+				t.Errorf("records = %v, next = %d, %v", records, next, err)
 			}
 		})
 	}
