Bound the age of policies by the time in which they have to be in force

Cause: an instance took its copy for current until the store's last answer to the watcher of its zone was 4 s old, by a constant that is longer than the 2.5 s of these sites. The waits that followed, for the next check of the zone, the lag tolerance, an exchange each second round, were added to that.

Change: a new setting, [policy] apply, is the time in which a policy has to be in force (the platform's config_apply_ms). jaystore.Freshness derives from it how long a long poll waits (0.36) and the highest age of a copy that an instance acts on (0.75); an instance reads the store itself at that moment, not at the next check. The bounds of the registry, which followed from the drain time already, moved there. The second in line reads the store first here too. Waits for busy suppliers and the lag tolerance follow from the bounds as well. A long poll without any answer is given up after twice its wait.

--- a/jay/jayedge/adapter.go
+++ b/jay/jayedge/adapter.go
@@ -19,8 +19,9 @@
 
 // Adapter translates between the platform's formats and the product's types.
 type Adapter interface {
-	// Store returns a client of the store at an address; the client counts its calls in the series.
-	Store(address string, series *jaymetric.Exposition) Store
+	// Store returns a client of the store at an address, whose long polls wait as polls states; the
+	// client counts its calls in the series.
+	Store(address string, polls jaystore.Polls, series *jaymetric.Exposition) Store
 	// Dialect returns the translation between the platform's headers and the relay's types.
 	Dialect() jayrelay.Dialect
 	// IsPolicy reports whether a key of the policy topic holds the traffic policy.
--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -29,20 +29,13 @@
 )
 
 const (
-	// registryReadFraction and registryAgeFraction are fractions of the drain time, in which a
-	// draining upstream may still get new work: the interval between two reads of the registry,
-	// and the time since the watcher's last answer from the store for which the watcher, which may
-	// be cut off from the store, is still used.
-	registryReadFraction = 0.36
-	registryAgeFraction  = 0.6
 	// registryPollInterval is the time between two reads of the registry, each of which waits for
 	// records itself.
 	registryPollInterval = 10 * time.Millisecond
-	// policyMaxAge and memberMaxAge are the longest times since the watcher's last answer from the
-	// store for which the watcher is used instead of the store. Both topics are read by long
-	// polling, of 2.5 and 10 s.
-	policyMaxAge = 4 * time.Second
-	memberMaxAge = 12 * time.Second
+	// memberPollWait is how long a long poll of the members waits at the store, and memberMaxAge the
+	// time since the store's last answer up to which another instance's copy of them is used.
+	memberPollWait = 10 * time.Second
+	memberMaxAge   = 12 * time.Second
 	// memberBatchDelay is the time between two reads of the members while they change: each change
 	// ends the long polls of all zones, and instances also exchange their status directly.
 	memberBatchDelay = time.Second
@@ -98,22 +91,23 @@
 	}
 	e.members.Store(&[]jaymember.Status{})
 	e.lifetime.Store(int64(settings.Lifetime))
+	e.policyLag.tolerance = lagTolerance(settings.Apply)
 	e.budgets = newBudgets(settings.Budget)
 	e.retryLimiter = rate.NewLimiter(rate.Every(retryInterval), retryBurst)
 	e.placer = newPlacer(adapter, jayplace.Location{Zone: settings.Zone, Region: settings.Region}, settings.Regions, log)
 	e.policies = &policies{adapter: adapter, log: log, onChange: e.policyChanged}
 	e.pool = jaylink.NewPool(jaylink.NewDialer())
-	store := adapter.Store(settings.Store, e.series)
+	policy, registry := jaystore.LongPolled(settings.Apply), jaystore.Polled(settings.Drain)
+	polls := jaystore.Polls{jaystore.TopicPolicy: policy.Wait, jaystore.TopicMembers: memberPollWait}
+	store := adapter.Store(settings.Store, polls, e.series)
 	if err := e.listen(adapter, store); err != nil {
 		e.group.Stop()
 		e.placer.owner.Stop()
 		return nil, err
 	}
-	e.follow(store, jaystore.TopicMembers, jaystore.NewMirror(e.roster), 0, memberMaxAge, 0, jaystore.WithBatchDelay(memberBatchDelay))
-	e.policyFollower.Store(e.follow(store, jaystore.TopicPolicy, jaystore.NewMirror(e.policies), 0, policyMaxAge, 0))
-	drain := float64(settings.Drain)
-	e.follow(store, jaystore.TopicUpstreams, jaystore.NewMirror(e.placer, jaystore.WithDeduplication(e.placer.duplicates)), registryPollInterval,
-		time.Duration(registryAgeFraction*drain), time.Duration(registryReadFraction*drain))
+	e.follow(store, jaystore.TopicMembers, jaystore.NewMirror(e.roster), 0, jaystore.Freshness{MaxAge: memberMaxAge}, jaystore.WithBatchDelay(memberBatchDelay))
+	e.policyFollower.Store(e.follow(store, jaystore.TopicPolicy, jaystore.NewMirror(e.policies), 0, policy))
+	e.follow(store, jaystore.TopicUpstreams, jaystore.NewMirror(e.placer, jaystore.WithDeduplication(e.placer.duplicates)), registryPollInterval, registry)
 	e.group.Every(sweepInterval, func(context.Context) { e.pool.Sweep(time.Now()) })
 	log.Info("instance started", "instance", e.self.Name, "incarnation", e.self.Incarnation, "zone", e.self.Zone,
 		"caller", settings.Caller, "store", settings.Store)
@@ -256,8 +250,8 @@
 	})
 }
 
-func (e *Edge) follow(store Store, topic jaystore.Topic, mirror *jaystore.Mirror, interval, maxAge, minReadInterval time.Duration, options ...jaystore.FollowerOption) *jaystore.Follower {
-	reader := e.roster.TopicReader(store, topic, mirror, maxAge, minReadInterval)
+func (e *Edge) follow(store Store, topic jaystore.Topic, mirror *jaystore.Mirror, interval time.Duration, fresh jaystore.Freshness, options ...jaystore.FollowerOption) *jaystore.Follower {
+	reader := e.roster.TopicReader(store, topic, mirror, fresh.MaxAge, fresh.Interval)
 	follower := jaystore.NewFollower(reader, topic, mirror, interval, e.log, append(options, jaystore.WithRetryLimiter(e.retryLimiter))...)
 	e.group.Go(follower.Run)
 	return follower
--- a/jay/jayedge/lag_test.go
+++ b/jay/jayedge/lag_test.go
@@ -14,6 +14,7 @@
 		inForce, newest int64
 		due             bool
 	}
+	lagTolerance := lagTolerance(2500 * time.Millisecond)
 	tests := map[string][]observation{
 		"no read if the watcher delivers the policy":   {{0, 1, 1, false}, {0, 1, 2, false}, {500 * time.Millisecond, 2, 2, false}, {lagTolerance, 2, 2, false}},
 		"one read if the watcher is cut off":           {{0, 1, 2, false}, {lagTolerance, 1, 2, true}, {2 * lagTolerance, 1, 2, false}},
@@ -22,7 +23,7 @@
 	}
 	for name, observations := range tests {
 		t.Run(name, func(t *testing.T) {
-			start, l := time.Unix(1000, 0), lag{}
+			start, l := time.Unix(1000, 0), lag{tolerance: lagTolerance}
 			for i, o := range observations {
 				if due := l.due(start.Add(o.after), o.inForce, o.newest); due != o.due {
 					t.Errorf("observation %d: due = %v, want %v", i, due, o.due)
--- a/jay/jayedge/settings.go
+++ b/jay/jayedge/settings.go
@@ -27,6 +27,8 @@
 	Lifetime time.Duration
 	// Drain is how long a draining upstream may still get new work.
 	Drain time.Duration
+	// Apply is how long after it was accepted a policy has to be in force.
+	Apply time.Duration
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// Budget limits retries.
@@ -50,6 +52,7 @@
 	defaultLifetime = time.Second
 	defaultGrace    = 8 * time.Second
 	defaultDrain    = 2500 * time.Millisecond
+	defaultApply    = 2500 * time.Millisecond
 	defaultRatio    = 0.2
 	defaultWindow   = 10 * time.Second
 	defaultMemoryMB = 256
@@ -63,7 +66,7 @@
 // ReadSettings reads a settings file and checks it.
 func ReadSettings(file string) (Settings, error) {
 	s := Settings{
-		Lifetime: defaultLifetime, Grace: defaultGrace, Drain: defaultDrain, Memory: defaultMemoryMB, Level: jaysink.LevelRoutine,
+		Lifetime: defaultLifetime, Grace: defaultGrace, Drain: defaultDrain, Apply: defaultApply, Memory: defaultMemoryMB, Level: jaysink.LevelRoutine,
 		Budget:  Budget{Ratio: defaultRatio, Window: defaultWindow},
 		Regions: make(map[string]string),
 	}
@@ -87,7 +90,7 @@
 		}
 		fields, ok := table[section.Name]
 		if !ok {
-			return s, section.Fault(jayini.KindUnknown, "", "unknown section; accepted: instance, listen, store, key, entry, drain, stop, budget, memory, log, zone")
+			return s, section.Fault(jayini.KindUnknown, "", "unknown section; accepted: instance, listen, store, key, entry, drain, policy, stop, budget, memory, log, zone")
 		}
 		if err := section.Decode(fields...); err != nil {
 			return s, err //nolint:wrapcheck // The error contains file and line.
@@ -102,8 +105,8 @@
 }
 
 // restartOnly returns the settings that take effect only at a start.
-func (s Settings) restartOnly() [9]string {
-	return [9]string{s.Name, s.Region, s.Zone, s.Caller, s.Ready, s.Entry, s.Peer, s.Metric, s.Store}
+func (s Settings) restartOnly() [11]string {
+	return [11]string{s.Name, s.Region, s.Zone, s.Caller, s.Ready, s.Entry, s.Peer, s.Metric, s.Store, s.Drain.String(), s.Apply.String()}
 }
 
 // Equal reports whether two settings are equal in all fields.
@@ -126,11 +129,12 @@
 			jayini.Required(address("peer", &s.Peer)),
 			address("metric", &s.Metric),
 		},
-		"store": {jayini.Required(address("address", &s.Store))},
-		"key":   {jayini.Required(jayini.Secret("peer", &s.PeerKey))},
-		"entry": {jayini.Duration("lifetime", &s.Lifetime, 100*time.Millisecond)},
-		"drain": {jayini.Duration("time", &s.Drain, 100*time.Millisecond)},
-		"stop":  {jayini.Duration("grace", &s.Grace, time.Second)},
+		"store":  {jayini.Required(address("address", &s.Store))},
+		"key":    {jayini.Required(jayini.Secret("peer", &s.PeerKey))},
+		"entry":  {jayini.Duration("lifetime", &s.Lifetime, 100*time.Millisecond)},
+		"drain":  {jayini.Duration("time", &s.Drain, 100*time.Millisecond)},
+		"policy": {jayini.Duration("apply", &s.Apply, 500*time.Millisecond)},
+		"stop":   {jayini.Duration("grace", &s.Grace, time.Second)},
 		"budget": {
 			jayini.Float("ratio", &s.Budget.Ratio, 0, 1),
 			jayini.Float("extra", &s.Budget.Extra, 0, maxExtra),
--- a/jay/jayroster/fanout_test.go
+++ b/jay/jayroster/fanout_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,8 @@
 	mu      sync.Mutex
 	records []jaystore.Record
 	changed chan struct{}
+	// wait is how long a long poll waits for a record.
+	wait time.Duration
 }
 
 func (p *policyTopic) put(value []byte) {
@@ -57,7 +60,7 @@
 	if interrupt != nil && end <= from {
 		select {
 		case <-changed:
-		case <-time.After(pollWait):
+		case <-time.After(p.wait):
 		case <-interrupt:
 			return nil, from, jayerror.New("read", jaystore.KindInterrupted, "interrupted")
 		case <-ctx.Done():
@@ -83,10 +86,41 @@
 	return unread[:count], from + int64(count), nil
 }
 
+// ownStore is the store as one instance reaches it.
+type ownStore struct {
+	*policyTopic
+	// cut is set while the store does not answer the instance.
+	cut atomic.Bool
+}
+
+func (s *ownStore) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+	return s.Read(ctx, topic, 0, nil)
+}
+
+func (s *ownStore) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+	for deadline := time.Now().Add(2 * s.wait); s.cut.Load(); {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, from, ctx.Err()
+		}
+		if time.Now().After(deadline) {
+			return nil, from, jayerror.New("read", jaystore.KindUnavailable, "no answer")
+		}
+	}
+	records, next, err := s.policyTopic.Read(ctx, topic, from, interrupt)
+	if s.cut.Load() {
+		// The answer is lost.
+		return s.Read(ctx, topic, from, interrupt)
+	}
+	return records, next, err
+}
+
 // policyInstance is an instance that reads policies through the watcher of its zone.
 type policyInstance struct {
 	roster   *jayroster.Roster
 	follower *jaystore.Follower
+	store    ownStore
 	mu       sync.Mutex
 	version  int64
 	// appliedAt holds when each version was applied.
@@ -147,14 +181,14 @@
 	wait      sync.WaitGroup
 }
 
-func newPolicyZone(ctx context.Context, count int) *policyZone {
-	z := &policyZone{topic: &policyTopic{changed: make(chan struct{})}}
+func newPolicyZone(ctx context.Context, count int, fresh jaystore.Freshness) *policyZone {
+	z := &policyZone{topic: &policyTopic{changed: make(chan struct{}), wait: fresh.Wait}}
 	ctx, z.cancel = context.WithCancel(ctx)
 	network, log := jaystandin.NewNetwork(), slog.New(slog.DiscardHandler)
 	list := make([]jaystore.Record, 0, count)
 	for n := range count {
 		host := network.Host(peerAddress(n), slowLink)
-		i := &policyInstance{version: -1, appliedAt: make(map[int64]time.Time)}
+		i := &policyInstance{version: -1, appliedAt: make(map[int64]time.Time), store: ownStore{policyTopic: z.topic}}
 		var record jaystore.Record
 		i.roster, record = startPeer(n, host, host.Listen(), i, z.topic, i.checkLag)
 		list = append(list, record)
@@ -163,7 +197,7 @@
 	for _, i := range z.instances {
 		i.roster.Replace(ctx, list, int64(count))
 		mirror := jaystore.NewMirror(i)
-		reader := i.roster.TopicReader(z.topic, jaystore.TopicPolicy, mirror, 5500*time.Millisecond, 0)
+		reader := i.roster.TopicReader(&i.store, jaystore.TopicPolicy, mirror, fresh.MaxAge, 0)
 		i.mu.Lock()
 		i.follower = jaystore.NewFollower(reader, jaystore.TopicPolicy, mirror, 0, log)
 		i.mu.Unlock()
@@ -216,7 +250,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				z := newPolicyZone(t.Context(), test.instances)
+				z := newPolicyZone(t.Context(), test.instances, jaystore.Freshness{Wait: pollWait, MaxAge: 5500 * time.Millisecond})
 				defer z.stop()
 				z.topic.put(policyText(40))
 				time.Sleep(10 * time.Second)
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -24,7 +24,8 @@
 	// other instances before it reads the store itself.
 	startupGrace = 1500 * time.Millisecond
 	// maxBusyWait is how long an instance waits while all instances that have the records it needs
-	// are busy with other transfers, before it reads the store itself.
+	// are busy with other transfers, before it reads the store itself; it waits no longer than half
+	// of the age limit.
 	maxBusyWait = 1500 * time.Millisecond
 	// fetchBound is how long a request for records may go without any byte of a reply, and
 	// polledFetchBound how long for a topic that is polled, whose records are few.
@@ -100,6 +101,7 @@
 		return list, next, nil
 	case pollExpired:
 		return nil, from, errExpired(from)
+	case pollEmpty, pollBusy, pollUnusable:
 	}
 	list, next, err := t.store.Read(ctx, topic, from, interrupt)
 	// The reply to a long poll reflects the store when the poll ends, so the time is taken now.
@@ -122,6 +124,7 @@
 			return nil, from, errExpired(from)
 		case resultBusy:
 			t.holders, t.holdersFrom = f.holders, from
+		case resultFailed:
 		}
 	case ok:
 		t.mirror.MarkRead(p.at, from)
@@ -208,11 +211,12 @@
 func (t *TopicReader) readZone(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, pollResult) {
 	wait, busySince := interrupt != nil, time.Time{}
 	for ctx.Err() == nil {
-		changed, pause := t.roster.positions.onChange(), zonePollInterval
+		changed := t.roster.positions.onChange()
 		list, next, result := t.pollZone(ctx, from, wait)
-		if result == pollRead || result == pollExpired {
+		if result != pollEmpty && result != pollBusy {
 			return list, next, result
 		}
+		pause := t.pollPause()
 		if result == pollBusy {
 			// The records that an interrupt would be about are about to be transferred.
 			changed, interrupt, pause = nil, nil, busyPollInterval
@@ -220,7 +224,7 @@
 				busySince = time.Now()
 			}
 		}
-		if result == pollUnusable || !busySince.IsZero() && time.Since(busySince) > maxBusyWait {
+		if !busySince.IsZero() && time.Since(busySince) > min(maxBusyWait, t.maxAge/2) {
 			return nil, 0, pollUnusable
 		}
 		select {
@@ -234,6 +238,17 @@
 	return nil, 0, pollUnusable
 }
 
+// pollPause returns the time until the next check for records in the zone: until the zone's freshest
+// copy reaches the age limit, at the latest.
+func (t *TopicReader) pollPause() time.Duration {
+	p, ok := t.zonePosition()
+	if !ok {
+		return zonePollInterval
+	}
+	// A copy that is exactly as old as the limit is still used.
+	return min(zonePollInterval, time.Until(p.at.Add(t.ageLimit()))+time.Millisecond)
+}
+
 // pollResult is the result of one check for records in the zone.
 type pollResult string
 
@@ -406,7 +421,7 @@
 
 // ageLimit returns the age of the store's last answer up to which another instance's copy is used.
 func (t *TopicReader) ageLimit() time.Duration {
-	if t.minInterval > 0 && t.roster.rank.Load() == 1 {
+	if t.roster.rank.Load() == 1 {
 		return time.Duration(standbyFraction * float64(t.maxAge))
 	}
 	return t.maxAge
--- a/jay/jaystore/copies_test.go
+++ b/jay/jaystore/copies_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,11 +75,7 @@
 func (c *copyOfTopic) readStore(l *topicLog, now time.Time) {
 	switch {
 	case c.next < 0:
-		var list []jaystore.Record
-		for _, r := range l.newest() {
-			list = append(list, r)
-		}
-		c.replace(list, l.end(), now)
+		c.replace(slices.Collect(maps.Values(l.newest())), l.end(), now)
 	case c.next < l.first:
 		c.next = -1
 	default:
