Split the cause of a time-out from the decision to retry

Cause: the linter's bound on complexity, crossed by the stop of an instance as a further cause. Change: timeoutCause names the cause; no behaviour changes. Result: the linter reports nothing in jay, the tests of jayrelay pass.

--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -163,10 +163,8 @@
 	switch {
 	case f.noUpstream && (x.runs == 0 || ctx.Err() == nil):
 		return x.giveUp(f.cause)
-	case errors.Is(context.Cause(ctx), errStopped):
-		return x.timedOut(errStopped)
 	case ctx.Err() != nil:
-		return x.timedOut(f.cause)
+		return x.timedOut(timeoutCause(ctx, f.cause))
 	case f.ran && !x.route.Repeatable():
 		return x.unknownOutcome(f.cause)
 	case x.exhausted():
--- a/jay/jayrelay/server_test.go
+++ b/jay/jayrelay/server_test.go
@@ -162,11 +162,10 @@
 	for range 20 {
 		s := newHeldServer(t)
 		s.Configure(limits(time.Minute))
-		var conns []keptConn
-		for range 16 {
-			conn := s.dial(t)
-			conn.send("/")
-			conns = append(conns, conn)
+		conns := make([]keptConn, 16)
+		for n := range conns {
+			conns[n] = s.dial(t)
+			conns[n].send("/")
 		}
 		s.Drain()
 		s.Stop(t.Context())
--- a/jay/jayrelay/stop.go
+++ b/jay/jayrelay/stop.go
@@ -1,6 +1,7 @@
 package jayrelay
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -14,6 +15,15 @@
 // stop.
 var errStopped = errors.New("the instance has stopped")
 
+// timeoutCause returns why a request whose context has ended failed: the stop of the instance or, if that is
+// not the reason, the cause that its send states.
+func timeoutCause(ctx context.Context, cause error) error {
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return errStopped
+	}
+	return cause
+}
+
 // BeginStop applies the plan of a planned stop to the requests in progress and to later ones. The
 // timer that it returns ends those in progress at the deadline of the plan.
 func (r *Relay) BeginStop(plan jaystop.Plan) *time.Timer {
