Order the registrations of an upstream by the store's offsets

Cause: Fleet.Put ignored a registration whose start time, a time of day of the engine's machine, was lower than the known one, or whose sequence number was, for good. The holder of an address that two upstreams registered was chosen by the start time too.

Change: the offset decides. A registration that states that the upstream is leaving counts at once. Another one that seems to be of an earlier time is held back for 4 s: a write that took effect late is followed by the next heartbeat meanwhile, a restarted upstream stays with it. An address belongs to the upstream whose start was observed last. Held back and applied entries are logged.

Tests: "an older sequence number is ignored" expected that draining with a lower sequence number is ignored, and "the upstream started last holds the address" that the start time decides; both were the fault. Cases for late reports, the same start time, clocks set back and late heartbeats replace them, and the model test now expects that the highest offset wins once it has stood for LateGrace, at once if it states leaving.

--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -45,9 +45,13 @@
 	p := &placer{adapter: adapter, log: log}
 	s := &placerState{fleet: jayfleet.New(), table: jayplace.NewTable(location, regions), quarantine: jayquarantine.NewTable()}
 	p.owner = jaytask.NewOwner(s, fleetTickInterval, func(s *placerState, now time.Time) {
-		for _, id := range s.fleet.Tick(now) {
+		removed, applied := s.fleet.Tick(now)
+		for _, id := range removed {
 			p.log.Info("upstream removed", "upstream", id, "reason", "entry still missing after the grace period that follows a store outage")
 		}
+		for _, id := range applied {
+			p.log.Info("upstream entry applied late", "upstream", id, "reason", "the entry remained the newest although its start time or sequence is lower than before")
+		}
 		p.configure(s)
 		for _, id := range s.table.EndHolds(now) {
 			p.log.Info("upstream used again", "upstream", id, "reason", "the time for which it stated to be busy or leaving has passed")
@@ -225,7 +229,10 @@
 		return
 	}
 	before := s.fleet.Changes()
-	s.fleet.Put(record.Offset, upstream)
+	if !s.fleet.Put(record.Offset, upstream) {
+		p.log.Info("upstream entry held back", "upstream", upstream.ID, "leaving", upstream.Leaving, "born", upstream.Born,
+			"sequence", upstream.Sequence, "offset", record.Offset, "reason", "its start time or sequence is lower than before, or its offset is")
+	}
 	if s.fleet.Changes() != before {
 		p.log.Info("upstream entry", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
 			"leaving", upstream.Leaving, "stage", upstream.Stage, "born", upstream.Born, "offset", record.Offset)
--- a/jay/jayfleet/fleet.go
+++ b/jay/jayfleet/fleet.go
@@ -11,6 +11,11 @@
 // requirements.
 const RemovalGrace = 2 * time.Second
 
+// LateGrace is how long a registration that seems to be of an earlier time than the known one, though it
+// came later, is held back: a write of the upstream that took effect late is followed by its
+// next heartbeat meanwhile, while an upstream that restarted with its clock set back stays with it.
+const LateGrace = 4 * time.Second
+
 // Fleet is the set of registered upstreams, by ID.
 type Fleet struct {
 	entries map[string]*entry
@@ -25,11 +30,21 @@
 type entry struct {
 	upstream Upstream
 	offset   int64
+	// since is the offset at which this start of the upstream was first observed.
+	since int64
+	// late is a registration that is held back, nil if there is none.
+	late *lateRegistration
 	// removed is set while the entry is missing from the registry but not yet deleted here,
 	// since the removal may be an expiry during a store outage.
 	removed bool
 }
 
+// lateRegistration is a registration that is held back since a point in time, which the next tick sets.
+type lateRegistration struct {
+	upstream Upstream
+	since    time.Time
+}
+
 // New returns an empty fleet.
 func New() *Fleet {
 	return &Fleet{entries: make(map[string]*entry)}
@@ -64,20 +79,44 @@
 	f.storeDown = true
 }
 
-// Put applies a registration of an upstream, read at an offset. It reports whether it did: a
-// registration older than the known one is ignored.
+// Put applies a registration of an upstream, read at an offset. It reports whether it did. The
+// offsets order the registrations of an upstream. One that states that the upstream is
+// leaving always counts; another one whose start time or sequence number is lower than the
+// known one is held back for LateGrace, since the clock of the upstream may have been set
+// back.
 func (f *Fleet) Put(offset int64, u Upstream) bool {
 	known, ok := f.entries[u.ID]
-	if ok && (offset < known.offset || u.older(known.upstream)) {
+	switch {
+	case !ok:
+		f.entries[u.ID] = &entry{upstream: u, offset: offset, since: offset}
+		f.changes++
+		return true
+	case offset < known.offset:
 		return false
 	}
-	if !ok || !known.upstream.Same(u) {
-		f.changes++
+	known.offset = offset
+	if !known.removed && !u.Leaving && u.seemsOlder(known.upstream) {
+		if known.late == nil {
+			known.late = &lateRegistration{}
+		}
+		known.late.upstream = u
+		return false
 	}
-	f.entries[u.ID] = &entry{upstream: u, offset: offset}
+	f.replace(known, u)
 	return true
 }
 
+// replace replaces the registration of an entry by its newest one.
+func (f *Fleet) replace(e *entry, u Upstream) {
+	if !e.upstream.Same(u) || e.removed {
+		f.changes++
+	}
+	if e.upstream.Born != u.Born || e.removed {
+		e.since = e.offset
+	}
+	e.upstream, e.late, e.removed = u, nil, false
+}
+
 // Remove applies the removal of an entry. During a store outage, and for the grace period
 // after it, the removal may be a mere expiry, so it takes effect only once the grace period
 // has passed.
@@ -86,7 +125,7 @@
 	if !ok || offset < e.offset {
 		return
 	}
-	e.offset = offset
+	e.offset, e.late = offset, nil
 	if f.storeDown || now.Before(f.graceUntil) {
 		e.removed = true
 		return
@@ -112,13 +151,22 @@
 	}
 }
 
-// Tick deletes the entries that are still missing after the grace period. It returns their
-// IDs.
-func (f *Fleet) Tick(now time.Time) []string {
+// Tick deletes the entries that are still missing after the grace period, and applies the
+// registrations that have been held back for LateGrace. It returns the IDs of both.
+func (f *Fleet) Tick(now time.Time) (deleted, applied []string) {
+	for id, e := range f.entries {
+		switch {
+		case e.late == nil:
+		case e.late.since.IsZero():
+			e.late.since = now
+		case now.Sub(e.late.since) >= LateGrace:
+			f.replace(e, e.late.upstream)
+			applied = append(applied, id)
+		}
+	}
 	if f.storeDown || now.Before(f.graceUntil) {
-		return nil
+		return nil, applied
 	}
-	var deleted []string
 	for id, e := range f.entries {
 		if e.removed {
 			delete(f.entries, id)
@@ -126,14 +174,11 @@
 			f.changes++
 		}
 	}
-	return deleted
+	return deleted, applied
 }
 
 // supersedes reports whether the entry, not other, is the current holder of the address that
-// both have.
+// both have: the one whose start was observed later.
 func (e *entry) supersedes(other *entry) bool {
-	if e.upstream.Born != other.upstream.Born {
-		return e.upstream.Born > other.upstream.Born
-	}
-	return e.offset > other.offset
+	return e.since > other.since
 }
--- a/jay/jayfleet/upstream.go
+++ b/jay/jayfleet/upstream.go
@@ -38,8 +38,9 @@
 	return u == other
 }
 
-// older reports whether the registration precedes another one of the same upstream.
-func (u Upstream) older(other Upstream) bool {
+// seemsOlder reports whether the registration precedes another one of the same upstream by what the
+// upstream states. The start time is a time of day, so this is no proof.
+func (u Upstream) seemsOlder(other Upstream) bool {
 	if u.Born != other.Born {
 		return u.Born < other.Born
 	}
