Limit the memory of all buffered requests and responses together

It can happen here: with 400 such answers at once the process used 403 MB for headers of 60 KB with short lines, and 505 MB for events of less than 1 MB; the machines have 184 MB and more.

Cause: each answer was limited by itself, but only bodies of more than 64 KB were limited together. A parsed header takes up to 16 times its bytes, and events, small bodies and the bodies of callers' requests were not counted.

Change: jaylimit.Memory, an eighth of [memory] limit, is shared by response headers (with their weight), response bodies, events and request bodies. The first 4 or 8 KB of each are free, so that small messages pass while large ones use it up. A response that does not fit fails as one that may have run; a request that does not fit is refused as not run. The metric buffered_bytes shows what is used. Other HTTP clients of the product read at most 64 KB of a header, before 10 MB.

--- a/jay/jayclient/caller.go
+++ b/jay/jayclient/caller.go
@@ -24,7 +24,9 @@
 const (
 	// maxAnswer bounds an answer that is read whole, in bytes.
 	maxAnswer = 16 << 20
-	dialBound = 2 * time.Second
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
+	dialBound      = 2 * time.Second
 	// maxPast bounds the addresses kept from earlier answers.
 	maxPast = 16
 	// wayBack is the part of a caller's time, one in so many, that is left for the answer's way back.
@@ -48,7 +50,7 @@
 // NewCaller returns a client of an account, that starts from known addresses.
 func NewCaller(key, region string, seeds ...string) *Caller {
 	dialer := &net.Dialer{Timeout: dialBound}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Caller{key: key, region: region, seeds: seeds, http: &http.Client{Transport: transport}}
 }
 
--- a/jay/jayclient/operator.go
+++ b/jay/jayclient/operator.go
@@ -23,7 +23,7 @@
 
 // NewOperator returns a client that publishes under an operator's name.
 func NewOperator(address, key, name string) *Operator {
-	return &Operator{address: address, key: key, name: name, http: &http.Client{Transport: &http.Transport{}}}
+	return &Operator{address: address, key: key, name: name, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Check has a document parsed and changes nothing.
--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"jayfield.example/jay/jayentry"
+	"jayfield.example/jay/jaylimit"
 	"jayfield.example/jay/jaylink"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jaymetric"
@@ -43,6 +44,9 @@
 	sweepInterval = time.Second
 	// headerTimeout is the time limit for reading the header of a request to the instance itself.
 	headerTimeout = 5 * time.Second
+	// memoryParts is the number of parts of the memory limit of which one may be used by buffered
+	// requests and responses. A buffer that grows takes up to three times its content.
+	memoryParts = 8
 	// leaveTimeout limits the write to the store which announces that the instance leaves.
 	leaveTimeout = time.Second
 	// retryInterval and retryBurst limit the calls of an instance to an unavailable store. With
@@ -65,13 +69,15 @@
 	budgets  *budgets
 	// retryLimiter limits the calls to an unavailable store.
 	retryLimiter *rate.Limiter
-	pool         *jaylink.Pool
-	relay        *jayrelay.Relay
-	server       *jayrelay.Server
-	roster       *jayroster.Roster
-	group        *jaytask.Group
-	servers      []*http.Server
-	leaving      atomic.Bool
+	// memory limits what is buffered of requests and responses.
+	memory  *jaylimit.Memory
+	pool    *jaylink.Pool
+	relay   *jayrelay.Relay
+	server  *jayrelay.Server
+	roster  *jayroster.Roster
+	group   *jaytask.Group
+	servers []*http.Server
+	leaving atomic.Bool
 	// closed is set during a planned stop, shortly before no more connections are accepted.
 	closed atomic.Bool
 	// lifetime is how long callers may cache entry addresses, as a time.Duration.
@@ -96,7 +102,8 @@
 	e.retryLimiter = rate.NewLimiter(rate.Every(retryInterval), retryBurst)
 	e.placer = newPlacer(adapter, jayplace.Location{Zone: settings.Zone, Region: settings.Region}, settings.Regions, log)
 	e.policies = &policies{adapter: adapter, log: log, onChange: e.policyChanged}
-	e.pool = jaylink.NewPool(jaylink.NewDialer())
+	e.memory = jaylimit.NewMemory(int64(settings.Memory) << 20 / memoryParts)
+	e.pool = jaylink.NewPool(jaylink.NewDialer(), e.memory)
 	policy, registry := jaystore.LongPolled(settings.Apply), jaystore.Polled(settings.Drain)
 	polls := jaystore.Polls{jaystore.TopicPolicy: policy.Wait, jaystore.TopicMembers: memberPollWait}
 	store := adapter.Store(settings.Store, polls, e.series)
@@ -210,7 +217,7 @@
 func (e *Edge) listen(adapter Adapter, store Store) error {
 	e.relay = jayrelay.New(jayrelay.Options{
 		Policies: e.policies, Placer: e.placer, Budget: e.budgets, Links: e.pool,
-		Dialect: adapter.Dialect(), Metrics: e.metrics, Series: e.series, Log: e.log, Others: e.others,
+		Dialect: adapter.Dialect(), Metrics: e.metrics, Series: e.series, Log: e.log, Memory: e.memory, Others: e.others,
 	})
 	listeners := make(map[string]net.Listener)
 	for _, address := range []string{e.settings.Caller, e.settings.Ready, e.settings.Entry, e.settings.Peer, e.settings.Metric} {
--- a/jay/jayedge/metric.go
+++ b/jay/jayedge/metric.go
@@ -24,6 +24,7 @@
 	})
 	e.series.Gauge("members", func() float64 { return float64(len(*e.members.Load())) })
 	e.series.Gauge("connections_opened", func() float64 { return float64(e.pool.Opened()) })
+	e.series.Gauge("buffered_bytes", func() float64 { return float64(e.memory.Used()) })
 	router := bunrouter.New()
 	router.Compat().GET(PathMetrics, e.series.ServeHTTP)
 	router.Compat().GET(PathVars, func(w http.ResponseWriter, _ *http.Request) {
--- a/jay/jayengine/client.go
+++ b/jay/jayengine/client.go
@@ -19,6 +19,8 @@
 	dialBound = 2 * time.Second
 	// idlePerUpstream bounds the idle connections kept to each upstream.
 	idlePerUpstream = 256
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 	// controlBound bounds a request for load, status or an order.
 	controlBound = 2 * time.Second
 	// orderBound bounds the sending of an order; its sender must have authority for longer.
@@ -56,10 +58,11 @@
 
 func newTransport(dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: idlePerUpstream,
-		DisableCompression:  true,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    idlePerUpstream,
+		DisableCompression:     true,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/jay/jaylimit/limiter.go
+++ b/jay/jaylimit/limiter.go
@@ -1,4 +1,5 @@
-// Package jaylimit limits the request rates of callers and the retries of an instance.
+// Package jaylimit limits the request rates of callers, the retries of an instance and the memory of
+// what it buffers.
 package jaylimit
 
 import (
--- /dev/null
+++ b/jay/jaylimit/memory.go
@@ -0,0 +1,51 @@
+package jaylimit
+
+import "sync/atomic"
+
+// Memory limits what is buffered of all messages together, in bytes. It answers the load of many
+// senders whose messages are each within the limit of one message. It is safe for concurrent use.
+type Memory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewMemory returns a limit of which nothing is used.
+func NewMemory(limit int64) *Memory {
+	return &Memory{limit: limit}
+}
+
+// Used returns the bytes that are used.
+func (m *Memory) Used() int64 {
+	return m.used.Load()
+}
+
+// Share returns the share of one message. The first free bytes of the message are not counted, so that
+// small messages pass while large ones use up the limit.
+func (m *Memory) Share(free int64) *Share {
+	return &Share{memory: m, free: free}
+}
+
+// Share is the memory that one message uses. It is not safe for concurrent use.
+type Share struct {
+	memory *Memory
+	// free is what is left of the bytes that are not counted, taken are those that are.
+	free, taken int64
+}
+
+// Grow adds bytes to the message. It reports false, and adds nothing, if the limit is reached.
+func (s *Share) Grow(n int64) bool {
+	counted := max(0, n-s.free)
+	if counted > 0 && s.memory.used.Add(counted) > s.memory.limit {
+		s.memory.used.Add(-counted)
+		return false
+	}
+	s.free = max(0, s.free-n)
+	s.taken += counted
+	return true
+}
+
+// Release returns the memory once the message is no longer buffered.
+func (s *Share) Release() {
+	s.memory.used.Add(-s.taken)
+	s.taken = 0
+}
--- a/jay/jaylink/conn.go
+++ b/jay/jaylink/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaylimit"
 )
 
 const (
@@ -19,6 +20,10 @@
 	// maxHeaderBytes bounds what is read up to the end of a response header, late answers to
 	// earlier requests included; maxForeignBody counts beside it.
 	maxHeaderBytes = 64 << 10
+	// freeHeaderBytes is the size of a response header that does not count for the memory of all of
+	// them. A parsed header takes up to headerWeight times its size: short lines are the worst.
+	freeHeaderBytes = 4 << 10
+	headerWeight    = 16
 	// keepMargin is how long before the announced end of an idle connection it is given up.
 	keepMargin = time.Second
 	// keepDefault is how long a connection rests where the upstream announces nothing.
@@ -36,8 +41,8 @@
 	used             bool
 }
 
-func newConn(raw net.Conn, address string) *conn {
-	source := &limitedReader{source: raw, left: noLimit}
+func newConn(raw net.Conn, address string, memory *jaylimit.Memory) *conn {
+	source := &limitedReader{source: raw, left: noLimit, memory: memory}
 	return &conn{Conn: raw, address: address, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
 }
 
@@ -49,6 +54,21 @@
 type limitedReader struct {
 	source io.Reader
 	left   int
+	memory *jaylimit.Memory
+	// share is the memory of the response header that is being read, nil while none is.
+	share *jaylimit.Share
+}
+
+// beginHeader limits what is read up to the end of a response header.
+func (r *limitedReader) beginHeader() {
+	r.left, r.share = maxHeaderBytes, r.memory.Share(freeHeaderBytes*headerWeight)
+}
+
+// endHeader ends the limit and returns the memory of the header, which its receiver releases.
+func (r *limitedReader) endHeader() *jaylimit.Share {
+	share := r.share
+	r.left, r.share = noLimit, nil
+	return share
 }
 
 // Read reads from the source.
@@ -61,6 +81,9 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if r.share != nil && !r.share.Grow(int64(n)*headerWeight) {
+		return 0, jayerror.New("receive", KindSpoilt, "response headers take too much memory together")
+	}
 	return n, err //nolint:wrapcheck // Readers depend on io.EOF.
 }
 
--- a/jay/jaylink/exchange.go
+++ b/jay/jaylink/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaylimit"
 )
 
 const (
@@ -53,6 +54,8 @@
 	close   bool
 	written <-chan error
 	stop    func() bool
+	// share is the memory of the header.
+	share *jaylimit.Share
 }
 
 // Exchange sends a request to an address and returns the answer once its
@@ -68,8 +71,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := c.send(request)
+	c.source.beginHeader()
 	response, err := c.receive(request) //nolint:bodyclose // Response.Close and Complete end it.
+	share := c.source.endHeader()
 	if err != nil {
+		share.Release()
 		stop()
 		_ = c.Close()
 		if ctx.Err() != nil {
@@ -79,12 +85,13 @@
 	}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: response.Body, Length: response.ContentLength,
-		pool: p, conn: c, close: response.Close, written: written, stop: stop,
+		pool: p, conn: c, close: response.Close, written: written, stop: stop, share: share,
 	}, nil
 }
 
 // Close gives up the connection and with it the work of the upstream.
 func (r *Response) Close() {
+	r.share.Release()
 	r.stop()
 	_ = r.conn.Close()
 }
@@ -92,6 +99,7 @@
 // Complete keeps the connection for another request after the body has ended,
 // unless the upstream closes it or has not read the whole request.
 func (r *Response) Complete() {
+	r.share.Release()
 	sent := false
 	select {
 	case err := <-r.written:
@@ -123,8 +131,6 @@
 
 // receive reads headers until one belongs to the request.
 func (c *conn) receive(request *Request) (*http.Response, error) {
-	c.source.left = maxHeaderBytes
-	defer func() { c.source.left = noLimit }()
 	for range maxForeign + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -136,9 +142,11 @@
 		if request.Matches == nil || request.Matches(response.StatusCode, response.Header) {
 			return response, nil
 		}
+		share := c.source.endHeader()
 		c.source.left = maxForeignBody
 		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody))
-		c.source.left = maxHeaderBytes
+		share.Release()
+		c.source.beginHeader()
 		if err != nil || response.Close {
 			return nil, jayerror.Wrap("receive", KindSpoilt, errors.New("answer to another request"))
 		}
--- a/jay/jaylink/pool.go
+++ b/jay/jaylink/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaylimit"
 )
 
 // Dialer makes connections to upstreams.
@@ -21,15 +22,17 @@
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	dialer Dialer
+	memory *jaylimit.Memory
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	opened int64
 	closed bool
 }
 
-// NewPool returns a pool without connections.
-func NewPool(dialer Dialer) *Pool {
-	return &Pool{dialer: dialer, idle: make(map[string][]*conn)}
+// NewPool returns a pool without connections. The memory limits the headers of all responses
+// together.
+func NewPool(dialer Dialer, memory *jaylimit.Memory) *Pool {
+	return &Pool{dialer: dialer, memory: memory, idle: make(map[string][]*conn)}
 }
 
 // Close closes the idle connections; those in use are closed after their answer.
@@ -92,7 +95,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(raw, address), nil
+	return newConn(raw, address, p.memory), nil
 }
 
 // pop returns the connection that has been idle for the shortest time.
--- a/jay/jaylist/client.go
+++ b/jay/jaylist/client.go
@@ -61,6 +61,8 @@
 	requestTimeout = 3 * time.Second
 	// maxListBytes bounds the list: 13,000 instances of 300 bytes with room.
 	maxListBytes = 16 << 20
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Client reads the list over HTTP. It is safe for concurrent use.
@@ -71,7 +73,7 @@
 
 // NewClient returns a client of the list at a base address.
 func NewClient(address string) *Client {
-	return &Client{address: address, http: &http.Client{Transport: &http.Transport{}, Timeout: requestTimeout}}
+	return &Client{address: address, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}, Timeout: requestTimeout}}
 }
 
 // Close releases idle connections.
--- a/jay/jaylog/client.go
+++ b/jay/jaylog/client.go
@@ -24,6 +24,8 @@
 	retryDelay = 100 * time.Millisecond
 	// maxBatchBytes bounds the answer to a read.
 	maxBatchBytes = 64 << 20
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Client speaks to the log over HTTP. It is safe for concurrent use.
@@ -41,7 +43,7 @@
 func NewClient(address string, options ...Option) *Client {
 	c := &Client{
 		address: address,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxHeaderBytes}},
 		budget:  rate.NewLimiter(DefaultBudgetPerSecond, 4*DefaultBudgetPerSecond),
 		timeout: DefaultAppendTimeout,
 	}
--- a/jay/jayrelay/answer.go
+++ b/jay/jayrelay/answer.go
@@ -121,8 +121,8 @@
 }
 
 // refusal returns the error for a request that did not run and will not run.
-func (x *exchange) refusal(status int, retryAfter time.Duration, reason string) error {
-	return jayerror.Wrap("refuse", KindNotRun, &statusError{status: status, retryAfter: retryAfter, cause: errors.New(reason)})
+func (x *exchange) refusal(retryAfter time.Duration, reason string) error {
+	return jayerror.Wrap("refuse", KindNotRun, &statusError{status: http.StatusServiceUnavailable, retryAfter: retryAfter, cause: errors.New(reason)})
 }
 
 // unknownOutcome returns the error for a request that may have run.
--- a/jay/jayrelay/event.go
+++ b/jay/jayrelay/event.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jaylimit"
 )
 
 // maxEventBytes limits the size of one event.
@@ -22,16 +24,27 @@
 // eventReader reads the events of a stream (WHATWG HTML, server-sent events).
 type eventReader struct {
 	source *bufio.Reader
+	memory *jaylimit.Memory
+	// share is the memory of the event that is being read.
+	share *jaylimit.Share
+}
+
+// newEventReader returns a reader of a stream. The memory limits the events of all streams together.
+func newEventReader(source io.Reader, memory *jaylimit.Memory) *eventReader {
+	return &eventReader{source: bufio.NewReader(source), memory: memory, share: memory.Share(freeBytes)}
 }
 
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: bufio.NewReader(source)}
+// release returns the memory of the latest event.
+func (r *eventReader) release() {
+	r.share.Release()
 }
 
 // next returns the next complete event. It returns io.EOF if the stream ended
 // between two events, and io.ErrUnexpectedEOF if it ended within one.
 func (r *eventReader) next() (event, error) {
 	e := event{id: -1}
+	r.share.Release()
+	r.share = r.memory.Share(freeBytes)
 	for {
 		start := len(e.data)
 		err := r.appendLine(&e)
@@ -63,6 +76,9 @@
 		if e.data = append(e.data, part...); len(e.data) > maxEventBytes {
 			return errors.Errorf("event is larger than %d bytes", maxEventBytes)
 		}
+		if !r.share.Grow(int64(len(part))) {
+			return errors.WithStack(errNoMemory)
+		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err //nolint:wrapcheck // io.EOF is part of the contract.
 		}
--- a/jay/jayrelay/event_test.go
+++ b/jay/jayrelay/event_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"testing"
+
+	"jayfield.example/jay/jaylimit"
 )
 
 func TestEventReader(t *testing.T) {
@@ -21,7 +23,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			reader := newEventReader(bytes.NewReader([]byte(test.stream)))
+			reader := newEventReader(bytes.NewReader([]byte(test.stream)), jaylimit.NewMemory(maxEventBytes))
 			for _, want := range test.ids {
 				e, err := reader.next()
 				if err != nil || e.id != want {
@@ -41,7 +43,7 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
 	f.Add([]byte("id: x\n\n\n\r\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		reader, offset := newEventReader(bytes.NewReader(stream)), 0
+		reader, offset := newEventReader(bytes.NewReader(stream), jaylimit.NewMemory(maxEventBytes)), 0
 		for {
 			e, err := reader.next()
 			if err != nil {
--- a/jay/jayrelay/plain.go
+++ b/jay/jayrelay/plain.go
@@ -19,10 +19,8 @@
 	// maxResponseBytes limits the body of a response that is not streamed, since it is
 	// buffered until it is complete.
 	maxResponseBytes = 16 << 20
-	// maxBufferedBytes limits what is buffered of all large bodies together, those of more
-	// than smallBodyBytes.
-	maxBufferedBytes = 32 << 20
-	smallBodyBytes   = 64 << 10
+	// freeBytes is the size of a body or event that does not count for the memory of all of them.
+	freeBytes = 8 << 10
 	// bodyChunkBytes is the size of one read of a body.
 	bodyChunkBytes = 16 << 10
 )
@@ -86,22 +84,17 @@
 // buffer reads a body until its end.
 func (x *exchange) buffer(source io.Reader) ([]byte, error) {
 	var body bytes.Buffer
-	counted := int64(0)
-	defer func() { x.buffered.Add(-counted) }()
 	for {
 		n, err := io.CopyN(&body, source, bodyChunkBytes)
 		switch {
+		case !x.buffered.Grow(n):
+			return nil, errors.WithStack(errNoMemory)
 		case errors.Is(err, io.EOF):
 			return body.Bytes(), nil
 		case err != nil:
 			return nil, errors.WithStack(err)
 		case body.Len() > maxResponseBytes:
 			return nil, errors.Errorf("answer is larger than %d bytes", maxResponseBytes)
-		case body.Len() <= smallBodyBytes:
-			continue
-		}
-		if counted += n; x.buffered.Add(n) > maxBufferedBytes {
-			return nil, errors.Errorf("large answers take more than %d bytes together", maxBufferedBytes)
 		}
 	}
 }
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -19,6 +19,7 @@
 
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jaylimit"
 	"jayfield.example/jay/jaylink"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jayplace"
@@ -77,8 +78,7 @@
 	metrics  *jaymetric.Set
 	series   *jaymetric.Exposition
 	log      *slog.Logger
-	// buffered is the size of the large bodies that are being read.
-	buffered atomic.Int64
+	memory   *jaylimit.Memory
 	others   func() []string
 	// stop is the plan of the planned stop, nil before it begins.
 	stop atomic.Pointer[jaystop.Plan]
@@ -97,6 +97,8 @@
 	Metrics  *jaymetric.Set
 	Series   *jaymetric.Exposition
 	Log      *slog.Logger
+	// Memory limits the bodies and events of all requests together.
+	Memory *jaylimit.Memory
 	// Others returns the addresses of other instances that take requests; nil if there are none.
 	Others func() []string
 }
@@ -106,7 +108,7 @@
 	ending, endAll := context.WithCancel(context.Background())
 	r := &Relay{
 		policies: options.Policies, placer: options.Placer, budget: options.Budget, links: options.Links,
-		dialect: options.Dialect, metrics: options.Metrics, series: options.Series, log: options.Log, others: options.Others,
+		dialect: options.Dialect, metrics: options.Metrics, series: options.Series, log: options.Log, memory: options.Memory, others: options.Others,
 		endAll: endAll, onEnd: func(f func()) func() bool { return context.AfterFunc(ending, f) },
 	}
 	if r.others == nil {
@@ -128,7 +130,8 @@
 // ServeHTTP serves one request of a caller.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.metrics.Add(jaymetric.Requests, 1)
-	x := &exchange{Relay: r, writer: w, request: request, began: time.Now(), avoid: make(map[string]bool)}
+	x := &exchange{Relay: r, writer: w, request: request, began: time.Now(), avoid: make(map[string]bool), buffered: r.memory.Share(freeBytes)}
+	defer x.buffered.Release()
 	err := x.admit()
 	if err == nil {
 		err = x.admitDuringStop(time.Now())
@@ -163,6 +166,8 @@
 	service string
 	version int64
 	body    []byte
+	// buffered is the memory of the bodies of the request and of its response.
+	buffered *jaylimit.Share
 	// tried lists the upstreams that the request was sent to, avoid holds them as a set.
 	// runs counts the sends that may have run, sends counts all except prefill-only ones
 	// that got a valid response, prefills counts the attempts to run prefill separately.
@@ -182,7 +187,7 @@
 func (x *exchange) admit() error {
 	policy := x.policies.Policy()
 	if policy == nil {
-		return x.refusal(http.StatusServiceUnavailable, noPolicyRetryAfter, "no traffic policy is known yet")
+		return x.refusal(noPolicyRetryAfter, "no traffic policy is known yet")
 	}
 	x.version = policy.Version
 	call, err := x.dialect.ParseCall(x.request.Header)
@@ -230,8 +235,10 @@
 	if limit > 0 {
 		source = io.LimitReader(source, int64(limit)+1)
 	}
-	body, err := io.ReadAll(source)
+	body, err := io.ReadAll(&countingReader{source: source, share: x.buffered})
 	switch {
+	case errors.Is(err, errNoMemory):
+		return x.refusal(refusedRetryAfter, err.Error())
 	case err != nil && x.request.Context().Err() != nil:
 		return jayerror.Wrap("read", KindCallerGone, err)
 	case err != nil:
@@ -244,6 +251,24 @@
 	return nil
 }
 
+// errNoMemory is returned if the bodies of all requests and responses reach the memory limit.
+var errNoMemory = errors.New("requests and answers take too much memory together")
+
+// countingReader counts what it reads as the memory of a message.
+type countingReader struct {
+	source io.Reader
+	share  *jaylimit.Share
+}
+
+// Read reads from the source.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if !r.share.Grow(int64(n)) {
+		return 0, errNoMemory
+	}
+	return n, err //nolint:wrapcheck // io.ReadAll depends on io.EOF.
+}
+
 // work returns the description of the request for the placer.
 func (x *exchange) work() jayplace.Work {
 	w := jayplace.Work{ID: x.call.ID, Service: x.service, Avoid: x.avoid}
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -190,7 +190,7 @@
 	if errors.As(cause, &rejection) && rejection.RetryAfter() > 0 {
 		retryAfter = rejection.RetryAfter()
 	}
-	return x.refusal(http.StatusServiceUnavailable, retryAfter, cause.Error())
+	return x.refusal(retryAfter, cause.Error())
 }
 
 // logRetry logs a request that is retried.
--- a/jay/jayrelay/stop.go
+++ b/jay/jayrelay/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 	"time"
 
@@ -45,5 +44,5 @@
 	if len(others) > 0 {
 		reason = "the instance is leaving; these take requests: " + strings.Join(others, ", ")
 	}
-	return x.refusal(http.StatusServiceUnavailable, plan.RetryAfter(now, len(others) > 0), reason)
+	return x.refusal(plan.RetryAfter(now, len(others) > 0), reason)
 }
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -141,7 +141,8 @@
 		return s.forwardError(ctx, resp)
 	}
 	s.writeHeader(resp)
-	reader := newEventReader(resp.Body)
+	reader := newEventReader(resp.Body, s.memory)
+	defer reader.release()
 	for events := 0; ; events++ {
 		e, err := reader.next()
 		if errors.Is(err, io.EOF) {
--- a/jaybench/internal/jaydemo/platform.go
+++ b/jaybench/internal/jaydemo/platform.go
@@ -136,7 +136,7 @@
 func (s *PlatformSite) startEdge(ctx context.Context, n int, store string, log *slog.Logger) error {
 	settings := jayedge.Settings{
 		Name: fmt.Sprint("edge-", n), Region: fmt.Sprint("region-", n), Zone: fmt.Sprint("zone-", n), Store: store,
-		PeerKey: "key-of-the-demonstration", Lifetime: 100 * time.Millisecond, Grace: demoGrace, Drain: time.Second, Apply: 2500 * time.Millisecond,
+		PeerKey: "key-of-the-demonstration", Lifetime: 100 * time.Millisecond, Grace: demoGrace, Drain: time.Second, Apply: 2500 * time.Millisecond, Memory: 256,
 		Budget:  jayedge.Budget{Ratio: 0.2, Extra: 10, Window: 10 * time.Second},
 		Regions: map[string]string{"zone-0": "region-0", "zone-1": "region-1", "zone-2": "region-2"},
 	}
