Leave a tenth of a short grace period for the exit, not 700 ms

What callers saw: with a grace period of 4 s, requests in progress ended after 3.15 s, before the last sixth of it, in which alone a planned stop may end requests that were taken early.

Cause: the time that is left for the process to exit was the same for every grace period. Change: it is a tenth of the grace period, at most 700 ms; nothing changes for 8 s. TestRequestsInProgressKeepFiveSixthsOfGrace fails with the former margin (3.15 s of 4 s) and passes now.

--- a/jay/jaystop/plan.go
+++ b/jay/jaystop/plan.go
@@ -6,10 +6,12 @@
 import "time"
 
 const (
-	// exitMargin is the part of the grace period that is left for the process to exit, and
-	// answerMargin the part before it in which requests still in progress are answered as failed.
-	exitMargin   = 700 * time.Millisecond
-	answerMargin = 150 * time.Millisecond
+	// maxExitMargin is the longest part of the grace period that is left for the process to exit, and
+	// exitParts the number of parts of a short one of which one is left. answerMargin is the part
+	// before it in which requests still in progress are answered as failed.
+	maxExitMargin = 700 * time.Millisecond
+	exitParts     = 10
+	answerMargin  = 150 * time.Millisecond
 	// cacheLifetimes is the number of lifetimes for which some callers cache the addresses.
 	cacheLifetimes = 3
 	// clockMargin covers the delay of the signal and the time that requests spend on the way.
@@ -23,20 +25,23 @@
 	open time.Time
 	// closed is when the instance accepts no more connections.
 	closed time.Time
-	// deadline is when requests in progress end, end is when their connections are closed.
-	deadline, end time.Time
+	// deadline is when requests in progress end, end is when their connections are closed, and killed is
+	// the end of the grace period.
+	deadline, end, killed time.Time
 }
 
 // NewPlan returns the plan of a stop that began at a point in time and has to be over within a grace
 // period. Callers cache the addresses of instances for a lifetime.
 func NewPlan(began time.Time, grace, lifetime time.Duration) Plan {
-	end := began.Add(max(0, grace-exitMargin))
+	left := grace - min(maxExitMargin, grace/exitParts)
+	end := began.Add(left)
 	cached := min(cacheLifetimes*lifetime, grace/2)
 	return Plan{
 		open:     began.Add(max(0, cached-clockMargin)),
-		closed:   began.Add(min(cached+clockMargin, grace-exitMargin)),
+		closed:   began.Add(min(cached+clockMargin, left)),
 		deadline: end.Add(-answerMargin),
 		end:      end,
+		killed:   began.Add(grace),
 	}
 }
 
@@ -89,5 +94,5 @@
 	if others {
 		return time.Millisecond
 	}
-	return max(time.Millisecond, p.end.Add(exitMargin).Sub(now))
+	return max(time.Millisecond, p.killed.Sub(now))
 }
--- a/jay/jaystop/plan_test.go
+++ b/jay/jaystop/plan_test.go
@@ -67,3 +67,14 @@
 		t.Errorf("retry after %s, want the rest of the grace period", got)
 	}
 }
+
+// Guards against requests that are cut off before the last sixth of the grace period, in which the service
+// requirements allow it.
+func TestRequestsInProgressKeepFiveSixthsOfGrace(t *testing.T) {
+	began := time.Unix(1000, 0)
+	for _, grace := range []time.Duration{4 * time.Second, 5 * time.Second, 8 * time.Second, time.Minute} {
+		if at := jaystop.NewPlan(began, grace, time.Second).Deadline().Sub(began); at < grace*5/6 {
+			t.Errorf("grace %s: requests in progress end after %s", grace, at)
+		}
+	}
+}
