Soak planned work: overlapping stops, versions, removals

Cause: the soak injected unplanned faults only, so that no request that was cut, no late removal and no late version could count as broken. TestPartOfRequestKeepsConnection sends half a request before a stop.

--- a/jay/jayrelay/server_test.go
+++ b/jay/jayrelay/server_test.go
@@ -192,3 +192,35 @@
 	}
 	s.Stop(t.Context())
 }
+
+// Guards against a stop that closes a connection on which a part of a request has arrived: its caller cannot
+// know whether the request has been read.
+func TestPartOfRequestKeepsConnection(t *testing.T) {
+	for name, first := range map[string]bool{"first request": true, "later request": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newHeldServer(t)
+			s.Configure(limits(time.Minute))
+			conn := s.dial(t)
+			if !first {
+				conn.send("/")
+				if _, err := conn.receive(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a.exa")
+			time.Sleep(50 * time.Millisecond)
+			s.Drain()
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				s.Stop(t.Context())
+			}()
+			time.Sleep(1500 * time.Millisecond)
+			fmt.Fprint(conn, "mple\r\n\r\n")
+			if response, err := conn.receive(); err != nil || !response.Close {
+				t.Errorf("response = %v, %v", response, err)
+			}
+			<-stopped
+		})
+	}
+}
--- a/jayfieldd/internal/jaydaemon/soak_test.go
+++ b/jayfieldd/internal/jaydaemon/soak_test.go
@@ -44,6 +44,10 @@
 	served atomic.Int64
 	failed atomic.Int64
 	broken chan string
+	// added are the routes that published versions have added.
+	added []string
+	// planned is set if there is planned work alone, in which no request that ran may end without an answer.
+	planned bool
 }
 
 // edge is one instance, started again after its end.
@@ -54,10 +58,15 @@
 	// caller is the address that callers use, through a link.
 	caller string
 	ready  string
+	// stopAt is when the latest planned stop began.
+	stopAt atomic.Pointer[time.Time]
 }
 
 const soakHost = "soak.example"
 
+// soakGrace is the grace period of a planned stop.
+const soakGrace = 4 * time.Second
+
 func soakSetting(t *testing.T, name string, otherwise int) int {
 	t.Helper()
 	text := os.Getenv(name)
@@ -92,7 +101,7 @@
 // runSoak injects faults by a seed for a time, and checks what is seen meanwhile and after it.
 func runSoak(t *testing.T, seed uint64, length time.Duration) {
 	t.Helper()
-	s := newSoak(t, seed)
+	s := newSoak(t, seed, 5*time.Millisecond)
 	s.settle("at the start")
 	ctx, cancel := context.WithTimeout(t.Context(), length)
 	defer cancel()
@@ -122,7 +131,7 @@
 	}
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, seed uint64, pause time.Duration) *soak {
 	t.Helper()
 	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), store: jayplatformtest.NewStore(),
@@ -132,7 +141,7 @@
 	t.Cleanup(s.server.Close)
 	t.Cleanup(s.server.CloseClientConnections)
 	for n, stage := range []string{"prefill", "decode", "decode", "decode", "", "", ""} {
-		spec := jayplatformtest.Spec{ID: fmt.Sprint("e", n), Service: "model", Zone: "z0", Stage: stage, Events: 12, Pause: 5 * time.Millisecond}
+		spec := jayplatformtest.Spec{ID: fmt.Sprint("e", n), Service: "model", Zone: "z0", Stage: stage, Events: 12, Pause: pause}
 		if stage == "" {
 			spec.Service, spec.Events = "desk", 0
 		}
@@ -169,13 +178,16 @@
 // publish writes a configuration with a route of each kind.
 func (s *soak) publish(version int) {
 	const timeout = 3 * time.Second
-	err := s.store.Publish(version, soakHost,
+	routes := []jayplatformtest.Route{
 		jayplatformtest.Route{Name: "talk", Kind: jayplatformtest.KindStream, Service: "model", Prompt: true, Resumable: true, Attempts: 3, Timeout: timeout},
 		jayplatformtest.Route{Name: "plan", Kind: jayplatformtest.KindStream, Service: "model", Prompt: true, Attempts: 1, Timeout: timeout},
 		jayplatformtest.Route{Name: "order", Kind: jayplatformtest.KindOnce, Service: "desk", Attempts: 1, Timeout: timeout},
 		jayplatformtest.Route{Name: "look", Kind: jayplatformtest.KindIdempotent, Service: "desk", Attempts: 2, Timeout: timeout},
-	)
-	if err != nil {
+	}
+	for _, name := range s.added {
+		routes = append(routes, jayplatformtest.Route{Name: name, Kind: jayplatformtest.KindIdempotent, Service: "desk", Attempts: 1, Timeout: timeout})
+	}
+	if err := s.store.Publish(version, soakHost, routes...); err != nil {
 		s.t.Fatal(err)
 	}
 }
@@ -198,10 +210,10 @@
 [key]
 peer = a-key-of-all-instances
 [stop]
-grace = 4s
+grace = %s
 [budget]
 extra = 50
-`, n, listen, e.ready, freeAddress(), freeAddress(), s.link(strings.TrimPrefix(s.server.URL, "http://")))
+`, n, listen, e.ready, freeAddress(), freeAddress(), s.link(strings.TrimPrefix(s.server.URL, "http://")), soakGrace)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -263,6 +275,8 @@
 func (s *soak) restart(e *edge, sig syscall.Signal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	began := time.Now()
+	e.stopAt.Store(&began)
 	_ = e.process.Process.Signal(sig)
 	_ = e.process.Process.Signal(syscall.SIGCONT)
 	_ = e.process.Wait()
@@ -372,8 +386,10 @@
 	if err != nil {
 		return 0, err
 	}
+	sentAt := time.Now()
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
+		s.checkLost(e, id, route, sentAt, err)
 		return 0, err
 	}
 	defer response.Body.Close()
@@ -389,6 +405,7 @@
 	}
 	s.checkRuns(id, route)
 	if err != nil {
+		s.checkLost(e, id, route, sentAt, err)
 		return 0, err
 	}
 	return response.StatusCode, nil
