--- a/jay/jayroster/cutwatcher_test.go
+++ b/jay/jayroster/cutwatcher_test.go
@@ -18,12 +18,17 @@
 		instances int
 		effect    time.Duration
 		cut       []int
+		// frozen is set if those that are cut off do not answer other instances either.
+		frozen bool
 	}{
-		"full mesh":                      {3, 2500 * time.Millisecond, []int{0}},
-		"full mesh, the next one is too": {4, 2500 * time.Millisecond, []int{0, 1}},
-		"partial mesh":                   {16, 2500 * time.Millisecond, []int{0}},
-		"partial mesh, both hubs":        {16, 2500 * time.Millisecond, []int{0, 1}},
-		"a longer time":                  {16, 5 * time.Second, []int{0}},
+		"full mesh":                      {3, 2500 * time.Millisecond, []int{0}, false},
+		"full mesh, the next one is too": {4, 2500 * time.Millisecond, []int{0, 1}, false},
+		"partial mesh":                   {16, 2500 * time.Millisecond, []int{0}, false},
+		"partial mesh, both hubs":        {16, 2500 * time.Millisecond, []int{0, 1}, false},
+		"frozen, full mesh":              {3, 2500 * time.Millisecond, []int{0}, true},
+		"frozen, the only other one":     {2, 2500 * time.Millisecond, []int{0}, true},
+		"frozen, partial mesh":           {16, 2500 * time.Millisecond, []int{0, 1}, true},
+		"a longer time":                  {16, 5 * time.Second, []int{0}, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -36,6 +41,9 @@
 					time.Sleep(10*time.Second + time.Duration(source.Int64N(int64(time.Second))))
 					for _, n := range test.cut {
 						z.instances[n].store.cut.Store(true)
+						if test.frozen {
+							z.instances[n].host.Pause(2 * test.effect)
+						}
 					}
 					time.Sleep(time.Duration(source.Int64N(int64(200 * time.Millisecond))))
 					acknowledged := time.Now()
--- a/jay/jayroster/fanout_test.go
+++ b/jay/jayroster/fanout_test.go
@@ -121,6 +121,7 @@
 	roster   *jayroster.Roster
 	follower *jaystore.Follower
 	store    ownStore
+	host     *jaystandin.Host
 	mu       sync.Mutex
 	version  int64
 	// appliedAt holds when each version was applied.
@@ -188,7 +189,7 @@
 	list := make([]jaystore.Record, 0, count)
 	for n := range count {
 		host := network.Host(peerAddress(n), slowLink)
-		i := &policyInstance{version: -1, appliedAt: make(map[int64]time.Time), store: ownStore{policyTopic: z.topic}}
+		i := &policyInstance{version: -1, appliedAt: make(map[int64]time.Time), store: ownStore{policyTopic: z.topic}, host: host}
 		var record jaystore.Record
 		i.roster, record = startPeer(n, host, host.Listen(), i, z.topic, i.checkLag)
 		list = append(list, record)
--- a/jayfieldd/internal/jaydaemon/soak_test.go
+++ b/jayfieldd/internal/jaydaemon/soak_test.go
@@ -178,11 +178,11 @@
 // publish writes a configuration with a route of each kind.
 func (s *soak) publish(version int) {
 	const timeout = 3 * time.Second
-	routes := []jayplatformtest.Route{
-		jayplatformtest.Route{Name: "talk", Kind: jayplatformtest.KindStream, Service: "model", Prompt: true, Resumable: true, Attempts: 3, Timeout: timeout},
-		jayplatformtest.Route{Name: "plan", Kind: jayplatformtest.KindStream, Service: "model", Prompt: true, Attempts: 1, Timeout: timeout},
-		jayplatformtest.Route{Name: "order", Kind: jayplatformtest.KindOnce, Service: "desk", Attempts: 1, Timeout: timeout},
-		jayplatformtest.Route{Name: "look", Kind: jayplatformtest.KindIdempotent, Service: "desk", Attempts: 2, Timeout: timeout},
+	routes := []jayplatformtest.Route{ //nolint:prealloc // The literal shows the routes that each version has.
+		{Name: "talk", Kind: jayplatformtest.KindStream, Service: "model", Prompt: true, Resumable: true, Attempts: 3, Timeout: timeout},
+		{Name: "plan", Kind: jayplatformtest.KindStream, Service: "model", Prompt: true, Attempts: 1, Timeout: timeout},
+		{Name: "order", Kind: jayplatformtest.KindOnce, Service: "desk", Attempts: 1, Timeout: timeout},
+		{Name: "look", Kind: jayplatformtest.KindIdempotent, Service: "desk", Attempts: 2, Timeout: timeout},
 	}
 	for _, name := range s.added {
 		routes = append(routes, jayplatformtest.Route{Name: name, Kind: jayplatformtest.KindIdempotent, Service: "desk", Attempts: 1, Timeout: timeout})
