Answer what the own interface reads during a planned stop

What callers saw: a request whose header was complete only once the listeners were being closed was read whole and got no answer, so that its caller could not know whether it ran.

Cause: the same as on the users' platform: http.Server.Shutdown closes a connection after it has read a request. Change: the server of jayrelay is a package of its own, jayserver, which the own interface uses for callers and operators. Its initial limits come from its owner.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -23,6 +23,7 @@
 	"jayfield.example/jay/jayplace"
 	"jayfield.example/jay/jayrelay"
 	"jayfield.example/jay/jayroster"
+	"jayfield.example/jay/jayserver"
 	"jayfield.example/jay/jaystop"
 	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jaytask"
@@ -44,6 +45,10 @@
 	sweepInterval = time.Second
 	// headerTimeout is the time limit for reading the header of a request to the instance itself.
 	headerTimeout = 5 * time.Second
+	// The limits of connections until the first policy is loaded.
+	initialMaxHeaderBytes = 16 << 10
+	initialHeaderTimeout  = 3 * time.Second
+	initialIdleTimeout    = 15 * time.Second
 	// memoryParts is the number of parts of the memory limit of which one may be used by buffered
 	// requests and responses. A buffer that grows takes up to three times its content.
 	memoryParts = 8
@@ -73,7 +78,7 @@
 	memory  *jaylimit.Memory
 	pool    *jaylink.Pool
 	relay   *jayrelay.Relay
-	server  *jayrelay.Server
+	server  *jayserver.Server
 	roster  *jayroster.Roster
 	group   *jaytask.Group
 	servers []*http.Server
@@ -233,7 +238,7 @@
 		}
 		listeners[address] = listener
 	}
-	e.server = jayrelay.NewServer(listeners[e.settings.Caller], e.relay, e.log)
+	e.server = jayserver.New(listeners[e.settings.Caller], e.relay, initialLimits(), e.log)
 	e.serve(listeners[e.settings.Ready], adapter.ReadyHandler(e.Ready))
 	e.serve(listeners[e.settings.Entry], adapter.EntryHandler(e))
 	if listener, ok := listeners[e.settings.Metric]; ok {
@@ -246,6 +251,11 @@
 	return nil
 }
 
+// initialLimits returns the limits of connections until the first policy is loaded.
+func initialLimits() jaytraffic.Limits {
+	return jaytraffic.Limits{Header: initialMaxHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
+}
+
 // serve serves requests to the instance itself on a listener.
 func (e *Edge) serve(listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -4,13 +4,9 @@
 import (
 	"context"
 	"log/slog"
-	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"jayfield.example/jay/jayadmin"
 	"jayfield.example/jay/jaycall"
 	"jayfield.example/jay/jayconfig"
@@ -26,6 +22,7 @@
 	"jayfield.example/jay/jayonce"
 	"jayfield.example/jay/jaypeer"
 	"jayfield.example/jay/jayroute"
+	"jayfield.example/jay/jayserver"
 	"jayfield.example/jay/jaysetting"
 	"jayfield.example/jay/jaystate"
 	"jayfield.example/jay/jaytask"
@@ -59,8 +56,8 @@
 
 	group     *jaytask.Group
 	peers     *jaypeer.Server
-	callers   *http.Server
-	operators *http.Server
+	callers   *jayserver.Server
+	operators *jayserver.Server
 	addresses Addresses
 	// leaving is set when a planned stop began.
 	leaving atomic.Bool
@@ -260,18 +257,8 @@
 		Metrics:   i.metrics,
 		Log:       i.log,
 	})
-	i.callers = newHTTPServer(i.frontend.Handler(), i.log)
-	i.operators = newHTTPServer(admin.Handler(), i.log)
-	i.serve(i.callers, l.caller)
-	i.serve(i.operators, l.operator)
-}
-
-func (i *Instance) serve(server *http.Server, listener net.Listener) {
-	i.group.Go(func(context.Context) {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			i.log.Error("listener failed", "address", listener.Addr().String(), "error", err)
-		}
-	})
+	i.callers = jayserver.New(l.caller, i.frontend.Handler(), connectionLimits(), i.log)
+	i.operators = jayserver.New(l.operator, admin.Handler(), connectionLimits(), i.log)
 }
 
 // notifySlow notifies the peers of an upstream that has become slow.
--- a/jay/jayinstance/listeners.go
+++ b/jay/jayinstance/listeners.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jaysetting"
+	"jayfield.example/jay/jaytraffic"
 )
 
 const (
@@ -58,12 +57,7 @@
 	}
 }
 
-func newHTTPServer(handler http.Handler, log *slog.Logger) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerBound,
-		MaxHeaderBytes:    maxHeader,
-		IdleTimeout:       idleBound,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}
+// connectionLimits returns the limits of connections of callers and operators.
+func connectionLimits() jaytraffic.Limits {
+	return jaytraffic.Limits{Header: maxHeader, HeaderTimeout: headerBound, IdleTimeout: idleBound}
 }
--- a/jay/jayinstance/stop.go
+++ b/jay/jayinstance/stop.go
@@ -11,8 +11,8 @@
 // Kill ends the instance at once, as a crash would: it notifies nobody and cuts
 // what is at work.
 func (i *Instance) Kill() {
-	_ = i.callers.Close()
-	_ = i.operators.Close()
+	i.callers.Close()
+	i.operators.Close()
 	i.stopParts()
 	i.list.Close()
 }
@@ -32,6 +32,7 @@
 	case <-time.After(i.settings.Lifetime):
 	case <-ctx.Done():
 	}
+	i.callers.Drain()
 	err := i.frontend.Drain(ctx)
 	i.control.Release(ctx)
 	outcomes := i.home.Outcomes(ctx)
@@ -39,8 +40,8 @@
 	i.log.Info("outcomes sent to peers", "outcomes", len(outcomes), "instances", accepted)
 	closing, cancel := context.WithTimeout(context.Background(), closeBound)
 	defer cancel()
-	_ = i.callers.Shutdown(closing)
-	_ = i.operators.Shutdown(closing)
+	i.callers.Stop(closing)
+	i.operators.Stop(closing)
 	i.stopParts()
 	if i.settings.Register {
 		_ = i.list.Remove(closing, i.settings.Name)
--- a/jay/jayrelay/conn.go
+++ b/jay/jayserver/conn.go
@@ -1,4 +1,4 @@
-package jayrelay
+package jayserver
 
 import (
 	"net"
--- a/jay/jayrelay/server.go
+++ b/jay/jayserver/server.go
@@ -1,4 +1,6 @@
-package jayrelay
+// Package jayserver serves HTTP to callers, with limits that may change, and stops without losing a
+// request: one that it has read is answered.
+package jayserver
 
 import (
 	"context"
@@ -15,13 +17,6 @@
 	"jayfield.example/jay/jaytraffic"
 )
 
-// Limits that apply until the first policy is loaded.
-const (
-	initialMaxHeaderBytes = 16 << 10
-	initialHeaderTimeout  = 3 * time.Second
-	initialIdleTimeout    = 15 * time.Second
-)
-
 // Server accepts connections from callers. A connection keeps the limits that
 // applied when it was accepted.
 type Server struct {
@@ -50,10 +45,11 @@
 	addr   net.Addr
 }
 
-// NewServer starts to accept connections from a listener and takes ownership of it.
-func NewServer(listener net.Listener, handler http.Handler, log *slog.Logger) *Server {
+// New starts to accept connections from a listener and takes ownership of it. The limits are in force
+// until Configure changes them.
+func New(listener net.Listener, handler http.Handler, limits jaytraffic.Limits, log *slog.Logger) *Server {
 	s := &Server{listener: listener, handler: handler, log: log, group: jaytask.NewGroup(), conns: make(map[*callerConn]bool), accepted: make(chan struct{})}
-	s.Configure(jaytraffic.Limits{Header: initialMaxHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout})
+	s.Configure(limits)
 	s.group.Go(s.accept)
 	return s
 }
@@ -88,6 +84,14 @@
 	})
 }
 
+// Close closes the listener and all connections at once.
+func (s *Server) Close() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = s.listener.Close()
+	s.Stop(ctx)
+}
+
 // Done is closed when the server has stopped.
 func (s *Server) Done() <-chan struct{} {
 	return s.group.Done()
--- a/jay/jayrelay/server_test.go
+++ b/jay/jayserver/server_test.go
@@ -1,4 +1,4 @@
-package jayrelay_test
+package jayserver_test
 
 import (
 	"bufio"
@@ -11,13 +11,16 @@
 	"testing"
 	"time"
 
-	"jayfield.example/jay/jayrelay"
+	"jayfield.example/jay/jayserver"
 	"jayfield.example/jay/jaytraffic"
 )
 
+// initialIdleTimeout is the idle timeout until the limits change.
+const initialIdleTimeout = 15 * time.Second
+
 // heldServer is a server whose requests to /held last until they are released.
 type heldServer struct {
-	*jayrelay.Server
+	*jayserver.Server
 	address string
 	release chan struct{}
 	taken   atomic.Int64
@@ -30,12 +33,12 @@
 		t.Fatal(err)
 	}
 	s := &heldServer{address: listener.Addr().String(), release: make(chan struct{})}
-	s.Server = jayrelay.NewServer(listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	s.Server = jayserver.New(listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		s.taken.Add(1)
 		if r.URL.Path == "/held" {
 			<-s.release
 		}
-	}), slog.New(slog.DiscardHandler))
+	}), limits(initialIdleTimeout), slog.New(slog.DiscardHandler))
 	return s
 }
 
--- a/jay/jaystop/plan_test.go
+++ b/jay/jaystop/plan_test.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// Guards against callers of a site that leaves as a whole, who are told to come back at once, and of
-// another site, who are told to wait.
+// Guards against a time to come back that is too early where a whole site leaves, and too late where
+// another instance takes the request.
 func TestRetryAfter(t *testing.T) {
 	began := time.Unix(1000, 0)
 	plan := jaystop.NewPlan(began, 8*time.Second, time.Second)
--- a/jayfieldd/internal/jaydaemon/planned_test.go
+++ b/jayfieldd/internal/jaydaemon/planned_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against requests that are cut off by planned stops, removals that are lost around restarts, and
-// versions that are late. The seeds and the length are chosen as for TestSoak.
+// versions that are late. The environment selects the seeds and the length, as for TestSoak.
 func TestSoakOfPlannedWork(t *testing.T) {
 	first := soakSetting(t, "JAYFIELD_SOAK_SEED", 1)
 	length := time.Duration(soakSetting(t, "JAYFIELD_SOAK_TIME", 12)) * time.Second
