Count streams without events as served

Cause: only streams with an event were counted, to leave out errors, which are counted where they are forwarded. Change: a stream remembers that it forwarded an error. Evidence: TestEachCompleteStreamIsCountedOnce failed for a stream without events and passes now; its cases of an event and of an error passed before too.

--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -48,6 +48,8 @@
 	started         bool
 	firstEventAfter time.Duration
 	hasLastID       bool
+	// forwardedError is set if the response is an upstream's error.
+	forwardedError bool
 }
 
 // attempt places the request and forwards the upstream's response. It returns nil
@@ -122,12 +124,14 @@
 	}
 }
 
-// recordServed logs a response that was sent completely, and counts it if an event was
-// forwarded: an upstream's error response has been counted by forwardResponse.
+// recordServed logs a response that was sent completely, and counts it unless it is an upstream's
+// error response, which forwardResponse has counted.
 func (s *stream) recordServed(ctx context.Context) {
-	if s.started {
+	if !s.forwardedError {
 		s.metrics.Add(jaymetric.Completed, 1)
 		s.recordResult(resultServed)
+	}
+	if s.started {
 		s.series.Observe("first_event_seconds", s.firstEventAfter, jaymetric.Label{Name: "route", Value: s.route.Name})
 	}
 	s.log.With(s.placementFields()...).Log(ctx, jaysink.LevelRoutine, "request served", jaysink.KeyRequest, s.call.ID,
@@ -189,6 +193,7 @@
 	if s.headerSent {
 		return &failure{cause: errors.Errorf("upstream failed with %d", resp.Status), ran: true, outcome: jayplace.OutcomeFailed}
 	}
+	s.forwardedError = true
 	s.forwardResponse(resp, body)
 	return nil
 }
