Leave tombstones out of copies of all keys, and bound those that a mirror keeps

What callers would see: an engine that was removed, set again and removed once more stays in the fleet of an instance that takes its copy from another one.

Cause: a copy of all keys contained tombstones. One of an earlier removal counted as the presence of its key, so that the later record stayed, in the mirror and in the fleet.

Change: a copy of all keys contains none; a tombstone is no presence. A mirror keeps 2,000 tombstones at most, and its history begins after the oldest. The log line of an expired history carries the reason.

--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -185,7 +185,7 @@
 	p.send(ctx, func(s *placerState) {
 		ids := make(map[string]bool, len(records))
 		for _, record := range records {
-			ids[record.Key] = true
+			ids[record.Key] = len(record.Value) > 0
 			p.apply(s, record)
 		}
 		s.fleet.Replace(time.Now(), end, ids)
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -159,7 +159,7 @@
 		return 0
 	}
 	if jayerror.Is(err, KindExpired) {
-		f.log.Warn("store history expired; reading the newest records", "topic", f.topic, "offset", f.next)
+		f.log.Warn("history expired; reading the newest records", "topic", f.topic, "offset", f.next, "error", err)
 		f.next = -1
 		return 0
 	}
--- a/jay/jaystore/mirror.go
+++ b/jay/jaystore/mirror.go
@@ -26,6 +26,8 @@
 	// record that was kept or the last snapshot.
 	next, changed int64
 	readAt        time.Time
+	// tombstones is the number of tombstones, of which at most maxTombstones are kept.
+	tombstones, maxTombstones int
 	// pending is the read whose records are still to be applied, nil if there is none.
 	pending *readMark
 }
@@ -46,9 +48,19 @@
 	return func(m *Mirror) { m.same = same }
 }
 
+// WithMaxTombstones sets how many removed keys a mirror remembers, for instances that have read less of the
+// topic.
+func WithMaxTombstones(n int) MirrorOption {
+	return func(m *Mirror) { m.maxTombstones = n }
+}
+
+// defaultMaxTombstones is more than the upstreams that a large site replaces within the time for which
+// an instance may be behind.
+const defaultMaxTombstones = 2000
+
 // NewMirror returns an empty mirror that forwards to a consumer.
 func NewMirror(consumer Consumer, options ...MirrorOption) *Mirror {
-	m := &Mirror{Consumer: consumer, records: make(map[string]Record), next: -1}
+	m := &Mirror{Consumer: consumer, records: make(map[string]Record), next: -1, maxTombstones: defaultMaxTombstones}
 	for _, option := range options {
 		option(m)
 	}
@@ -97,8 +109,9 @@
 
 // From returns the newest records of the keys that changed from an offset on, in
 // the order of their offsets, and the offset after all records that were read. A negative
-// offset selects all keys. The error is of KindExpired if the mirror may not know all
-// removals since the offset: the reader has to replace its copy by that of all keys.
+// offset selects all keys that have not been removed. The error is of KindExpired if the
+// mirror may not know all removals since the offset: the reader has to replace its copy by
+// that of all keys.
 func (m *Mirror) From(offset int64) ([]Record, int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -107,6 +120,9 @@
 	}
 	var records []Record
 	for _, r := range m.records {
+		if offset < 0 && len(r.Value) == 0 {
+			continue
+		}
 		if r.Offset >= offset {
 			records = append(records, r)
 		}
@@ -135,12 +151,13 @@
 	m.mu.Lock()
 	present := make(map[string]bool, len(records))
 	for _, r := range records {
-		present[r.Key] = true
+		// The copy of an instance of an earlier release contains tombstones too.
+		present[r.Key] = len(r.Value) > 0
 	}
 	for key, r := range m.records {
-		if !present[key] && r.Offset < end {
+		if !present[key] && len(r.Value) > 0 && r.Offset < end {
 			// The tombstone is kept for instances that have read less of the topic.
-			m.records[key] = Record{Key: key, Offset: end - 1}
+			m.store(Record{Key: key, Offset: end - 1})
 		}
 	}
 	m.put(records)
@@ -159,7 +176,42 @@
 		if ok && (r.Offset < prev.Offset || m.same != nil && m.same(prev, r)) {
 			continue
 		}
-		m.records[r.Key] = r
+		m.store(r)
 		m.changed = max(m.changed, r.Offset+1)
 	}
+	m.dropTombstones()
+}
+
+// store sets the record of a key.
+func (m *Mirror) store(r Record) {
+	if prev, ok := m.records[r.Key]; ok && len(prev.Value) == 0 {
+		m.tombstones--
+	}
+	if len(r.Value) == 0 {
+		m.tombstones++
+	}
+	m.records[r.Key] = r
+}
+
+// dropTombstones drops the older half of the tombstones if there are too many. The history of the mirror
+// begins after them.
+func (m *Mirror) dropTombstones() {
+	if m.tombstones <= m.maxTombstones {
+		return
+	}
+	offsets := make([]int64, 0, m.tombstones)
+	for _, r := range m.records {
+		if len(r.Value) == 0 {
+			offsets = append(offsets, r.Offset)
+		}
+	}
+	slices.Sort(offsets)
+	last := offsets[len(offsets)/2]
+	for key, r := range m.records {
+		if len(r.Value) == 0 && r.Offset <= last {
+			delete(m.records, key)
+			m.tombstones--
+		}
+	}
+	m.begin = max(m.begin, last+1)
 }
