Log upstream entries that are outdated no longer as held back

What operators would see: after a copy of all keys from another instance, a line for each upstream that its entry is held back, although a newer one is known (read in the diff). Cause: Fleet.Put reported both as not applied. Change: it returns an outcome.

--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -229,9 +229,9 @@
 		return
 	}
 	before := s.fleet.Changes()
-	if !s.fleet.Put(record.Offset, upstream) {
-		p.log.Info("upstream entry held back", "upstream", upstream.ID, "leaving", upstream.Leaving, "born", upstream.Born,
-			"sequence", upstream.Sequence, "offset", record.Offset, "reason", "its start time or sequence is lower than before, or its offset is")
+	if s.fleet.Put(record.Offset, upstream) == jayfleet.OutcomeHeldBack {
+		p.log.Info("upstream entry held back", "upstream", upstream.ID, "born", upstream.Born, "sequence", upstream.Sequence,
+			"offset", record.Offset, "reason", "its start time or sequence is lower than before")
 	}
 	if s.fleet.Changes() != before {
 		p.log.Info("upstream entry", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
--- a/jay/jayfleet/fleet.go
+++ b/jay/jayfleet/fleet.go
@@ -79,20 +79,32 @@
 	f.storeDown = true
 }
 
-// Put applies a registration of an upstream, read at an offset. It reports whether it did. The
-// offsets order the registrations of an upstream. One that states that the upstream is
-// leaving always counts; another one whose start time or sequence number is lower than the
-// known one is held back for LateGrace, since the clock of the upstream may have been set
-// back.
-func (f *Fleet) Put(offset int64, u Upstream) bool {
+// Outcome is what became of a registration.
+type Outcome string
+
+// Outcomes of registrations.
+const (
+	OutcomeApplied Outcome = "applied"
+	// OutcomeHeldBack means that the registration counts if it remains the newest for LateGrace.
+	OutcomeHeldBack Outcome = "held back"
+	// OutcomeOutdated means that a registration with a higher offset is known.
+	OutcomeOutdated Outcome = "outdated"
+)
+
+// Put applies a registration of an upstream, read at an offset. The offsets order the
+// registrations of an upstream. One that states that the upstream is leaving always counts;
+// another one whose start time or sequence number is lower than the known one is held back
+// for LateGrace: it may be a write that took effect late, or the clock of the upstream may have
+// been set back.
+func (f *Fleet) Put(offset int64, u Upstream) Outcome {
 	known, ok := f.entries[u.ID]
 	switch {
 	case !ok:
 		f.entries[u.ID] = &entry{upstream: u, offset: offset, since: offset}
 		f.changes++
-		return true
+		return OutcomeApplied
 	case offset < known.offset:
-		return false
+		return OutcomeOutdated
 	}
 	known.offset = offset
 	if !known.removed && !u.Leaving && u.seemsOlder(known.upstream) {
@@ -100,10 +112,10 @@
 			known.late = &lateRegistration{}
 		}
 		known.late.upstream = u
-		return false
+		return OutcomeHeldBack
 	}
 	f.replace(known, u)
-	return true
+	return OutcomeApplied
 }
 
 // replace replaces the registration of an entry by its newest one.
