Keep the second hub from reading the list of members itself

Cause: the second hub of a zone reads the store at 0.85 of the age limit since policies have a limit too; for members, whose copy is up to 10.5 s old without faults, that is 10.2 s. Change: long polls of members wait for 9 s instead of 10 s.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -35,8 +35,9 @@
 	// records itself.
 	registryPollInterval = 10 * time.Millisecond
 	// memberPollWait is how long a long poll of the members waits at the store, and memberMaxAge the
-	// time since the store's last answer up to which another instance's copy of them is used.
-	memberPollWait = 10 * time.Second
+	// time since the store's last answer up to which another instance's copy of them is used. No
+	// change of the list has to take effect within a time, since instances also exchange heartbeats.
+	memberPollWait = 9 * time.Second
 	memberMaxAge   = 12 * time.Second
 	// memberBatchDelay is the time between two reads of the members while they change: each change
 	// ends the long polls of all zones, and instances also exchange their status directly.
