--- a/jay/jaymember/view_test.go
+++ b/jay/jaymember/view_test.go
@@ -47,3 +47,13 @@
 		t.Error("a member that nobody takes for alive was added")
 	}
 }
+
+// Guards against a member that is reported to accept no more callers and keeps its configuration.
+func TestVouchForMemberThatIsClosed(t *testing.T) {
+	v, now := jaymember.NewView(jaymember.Member{Name: "a", Incarnation: "1"}), time.Unix(1000, 0)
+	v.Vouch(now, jaymember.Member{Incarnation: "2", Config: 7}, true)
+	v.Vouch(now, jaymember.Member{Incarnation: "2", Leaving: true, Config: -1}, true)
+	if m, _ := v.Member("2"); m.Config >= 0 {
+		t.Errorf("member = %+v, want none that serves", m)
+	}
+}
