--- a/jay/jayentry/near_test.go
+++ b/jay/jayentry/near_test.go
@@ -25,7 +25,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var got []string
+			got := make([]string, 0, len(test.members))
 			for _, m := range jayentry.Near("r", "z", test.members, rand.New(rand.NewPCG(1, 1))) {
 				got = append(got, m.Name)
 			}
