--- a/jay/jaysite/fault_test.go
+++ b/jay/jaysite/fault_test.go
@@ -97,7 +97,7 @@
 	}
 	var kill sync.Once
 	tokens := 0
-	got, err := caller.Stream(ctx, chat("read my order back", 80), func(string) {
+	got, err := caller.Stream(ctx, chat("read my order back", 800), func(string) {
 		if tokens++; tokens < 10 {
 			return
 		}
@@ -112,7 +112,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got.Resumes == 0 || got.Text != jaystandin.Answer("read my order back", 80) {
+	if got.Resumes == 0 || got.Text != jaystandin.Answer("read my order back", 800) {
 		t.Errorf("resumes = %d, tokens = %d", got.Resumes, got.Tokens)
 	}
 }
