Check again what a mirror supplies from an offset once a read is applied

For records that are applied the former check was still right. Reading all keys is checked beside it.

--- a/jay/jaystore/mirror_test.go
+++ b/jay/jaystore/mirror_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaystore"
 )
 
@@ -51,11 +52,15 @@
 // Guards against a mirror that reports records as read before it has them: another instance that reads it at
 // that moment would skip them for good.
 func TestMirrorDoesNotSkipPendingRecords(t *testing.T) {
-	tests := map[string]func(m *jaystore.Mirror, records []jaystore.Record){
-		"apply":   func(m *jaystore.Mirror, records []jaystore.Record) { m.Apply(t.Context(), records) },
-		"replace": func(m *jaystore.Mirror, records []jaystore.Record) { m.Replace(t.Context(), records, 2) },
+	tests := map[string]struct {
+		apply func(m *jaystore.Mirror, records []jaystore.Record)
+		// expired is set if the removals since offset 1 are not known afterwards.
+		expired bool
+	}{
+		"apply":   {func(m *jaystore.Mirror, records []jaystore.Record) { m.Apply(t.Context(), records) }, false},
+		"replace": {func(m *jaystore.Mirror, records []jaystore.Record) { m.Replace(t.Context(), records, 2) }, true},
 	}
-	for name, apply := range tests {
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			mirror := jaystore.NewMirror(&consumer{})
 			mirror.Apply(t.Context(), []jaystore.Record{{Key: "a", Value: []byte("1")}})
@@ -67,9 +72,13 @@
 			if _, readAt := mirror.Position(); !readAt.Equal(time.Unix(1000, 0)) {
 				t.Errorf("read at %s before the records are applied", readAt)
 			}
-			apply(mirror, []jaystore.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2"), Offset: 1}})
+			test.apply(mirror, []jaystore.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2"), Offset: 1}})
+			records, next, err := mirror.From(1)
+			if jayerror.Is(err, jaystore.KindExpired) != test.expired || !test.expired && len(records) != 1 || next != 2 {
+				t.Errorf("records = %v, next = %d, %v, want expired = %v", records, next, err, test.expired)
+			}
 			if records, next, err := mirror.From(-1); err != nil || len(records) != 2 || next != 2 {
-				t.Errorf("records = %v, next = %d, %v", records, next, err)
+				t.Errorf("records of all keys = %v, next = %d, %v", records, next, err)
 			}
 		})
 	}
