--- a/jay/jayroster/removal_test.go
+++ b/jay/jayroster/removal_test.go
@@ -82,6 +82,7 @@
 				for n := range z.running {
 					z.kill(n)
 				}
+				z.network.Close()
 			}()
 			time.Sleep(5 * time.Second)
 			for n := range 8 {
--- a/jay/jaystandin/network.go
+++ b/jay/jaystandin/network.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	stderrors "errors"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,11 +21,23 @@
 	listeners map[string]*memoryListener
 	// open holds the open connections, each by its dialing end.
 	open map[*pacedConn]bool
+	// ends holds both ends of the connections that are not closed.
+	ends map[*pacedConn]bool
+}
+
+// Close closes all connections, those too whose host has stopped without closing them.
+func (n *Network) Close() {
+	n.mu.Lock()
+	ends := slices.Collect(maps.Keys(n.ends))
+	n.mu.Unlock()
+	for _, c := range ends {
+		_ = c.Close() // The other end may have closed it.
+	}
 }
 
 // NewNetwork returns a network without hosts.
 func NewNetwork() *Network {
-	return &Network{listeners: make(map[string]*memoryListener), open: make(map[*pacedConn]bool)}
+	return &Network{listeners: make(map[string]*memoryListener), open: make(map[*pacedConn]bool), ends: make(map[*pacedConn]bool)}
 }
 
 // Silence makes a share of the open connections silent for good: they stay open, and what is
@@ -153,6 +167,7 @@
 	near.far, far.far = far, near
 	dialer.network.mu.Lock()
 	dialer.network.open[near] = true
+	dialer.network.ends[near], dialer.network.ends[far] = true, true
 	dialer.network.mu.Unlock()
 	go near.send()
 	go far.send()
@@ -213,6 +228,7 @@
 		close(c.closed)
 		c.host.network.mu.Lock()
 		delete(c.host.network.open, c)
+		delete(c.host.network.ends, c)
 		c.host.network.mu.Unlock()
 	})
 	return errors.WithStack(c.Conn.Close())
