--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -203,3 +203,14 @@
 func (s Status) Usable() bool {
 	return !s.Leaving && !s.Silent && s.Config >= 0
 }
+
+// Live returns the number of members that are not silent.
+func Live(members []Status) int {
+	live := 0
+	for _, m := range members {
+		if !m.Silent {
+			live++
+		}
+	}
+	return live
+}
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -53,6 +53,9 @@
 		self.Mirrors = r.mirrors.Positions(now)
 	})
 	r.others.Store(&members)
+	if s.updateMesh() {
+		r.log.Info("kind of mesh changed", "mesh", s.mesh, "entries", len(s.listed), "live", 1+jaymember.Live(members), "limit", maxFullMesh+1)
+	}
 	for _, c := range contacts {
 		r.exchange(s, now, c)
 	}
--- a/jay/jayroster/list.go
+++ b/jay/jayroster/list.go
@@ -38,6 +38,7 @@
 			list = append(list, instance)
 		}
 		s.view.List(list)
+		r.entries.Store(int64(len(list)))
 	})
 	if err != nil {
 		r.log.Warn("list of instances not applied", "error", err)
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -93,6 +93,8 @@
 	// with rank 0 is the watcher.
 	rank      atomic.Int64
 	positions positions
+	// entries is the number of entries in the store's list.
+	entries atomic.Int64
 	// others holds all other instances as of the last round of exchanges.
 	others atomic.Pointer[[]jaymember.Status]
 }
@@ -170,6 +172,11 @@
 	return r.owner.Done()
 }
 
+// Entries returns the number of entries in the store's list of instances.
+func (r *Roster) Entries() int {
+	return int(r.entries.Load())
+}
+
 // connection identifies a connection to another instance: its address and the topic whose
 // records it carries, or noTopic.
 type connection struct {
--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -29,8 +29,20 @@
 	positions map[string]position
 	ticks     int
 	rounds    int
+	// mesh is the kind of mesh in the latest round.
+	mesh meshKind
 }
 
+// meshKind is how instances choose those with which they exchange.
+type meshKind string
+
+const (
+	// meshFull means that each instance exchanges with all others.
+	meshFull meshKind = "full"
+	// meshPartial means that each instance exchanges with the hubs of its zone.
+	meshPartial meshKind = "partial"
+)
+
 // peer is the state of the exchanges with an address.
 type peer struct {
 	// sentAt is when the exchange in flight began, zero if there is none.
@@ -79,6 +91,17 @@
 	return len(s.listed)-1 > maxFullMesh
 }
 
+// updateMesh sets the kind of mesh of this round and reports whether it has changed.
+func (s *state) updateMesh() bool {
+	kind := meshFull
+	if s.partialMesh() {
+		kind = meshPartial
+	}
+	changed := kind != s.mesh
+	s.mesh = kind
+	return changed
+}
+
 // suspect reports whether the instance at an address does not answer this one.
 func (s *state) suspect(now time.Time, address string) bool {
 	p, ok := s.peers[address]
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -96,14 +96,21 @@
 	if t.minInterval > 0 {
 		return t.readPolled(ctx, from)
 	}
-	switch list, next, result := t.readZone(ctx, from, interrupt); result {
+	start := time.Now()
+	list, next, result := t.readZone(ctx, from, interrupt)
+	switch result {
 	case pollRead:
 		return list, next, nil
 	case pollExpired:
 		return nil, from, errExpired(from)
-	case pollEmpty, pollBusy, pollUnusable:
+	default:
 	}
+	called := time.Now()
 	list, next, err := t.store.Read(ctx, topic, from, interrupt)
+	if len(list) > 0 {
+		t.roster.log.Info("records read from the store", "topic", topic, "reason", result, "from", from, "next", next, "records", len(list),
+			"waited", called.Sub(start), "took", time.Since(called))
+	}
 	// The reply to a long poll reflects the store when the poll ends, so the time is taken now.
 	return t.useStored(ctx, from, time.Now(), stored{list, next, err})
 }
@@ -206,8 +213,8 @@
 }
 
 // readZone returns records from an instance of the zone that has some; it waits until there are,
-// unless interrupt is nil. Its result is pollRead, pollExpired or, if the store is to be read,
-// pollUnusable.
+// unless interrupt is nil. Its result is pollRead, pollExpired or the reason for which the store is to
+// be read.
 func (t *TopicReader) readZone(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, pollResult) {
 	wait, busySince := interrupt != nil, time.Time{}
 	for ctx.Err() == nil {
@@ -225,17 +232,17 @@
 			}
 		}
 		if !busySince.IsZero() && time.Since(busySince) > min(maxBusyWait, t.maxAge/2) {
-			return nil, 0, pollUnusable
+			return nil, 0, pollBusy
 		}
 		select {
 		case <-time.After(pause):
 		case <-changed:
 		case <-interrupt:
-			return nil, 0, pollUnusable
+			return nil, 0, pollNewer
 		case <-ctx.Done():
 		}
 	}
-	return nil, 0, pollUnusable
+	return nil, 0, pollOwn
 }
 
 // pollPause returns the time until the next check for records in the zone: until the zone's freshest
@@ -261,8 +268,12 @@
 	// pollExpired means that the records of all keys are to be read, since the instance may not
 	// know all removals.
 	pollExpired pollResult = "expired"
-	// pollUnusable means that the store is to be read instead.
-	pollUnusable pollResult = "unusable"
+	// pollOwn means that this instance is the watcher, or that no copy of the zone is fresh enough.
+	pollOwn pollResult = "own"
+	// pollNewer means that another instance has a record that the watcher does not have.
+	pollNewer pollResult = "newer"
+	// pollFailed means that the other instance did not supply its records.
+	pollFailed pollResult = "failed"
 )
 
 // pollZone returns the records from an offset on that another instance of the zone has.
@@ -273,7 +284,7 @@
 		// The newest records have just been read, and the first replies will identify the watcher.
 		return nil, from, pollEmpty
 	case !ok:
-		return nil, 0, pollUnusable
+		return nil, 0, pollOwn
 	case p.next > from:
 		return t.fetchFrom(ctx, t.supplier(p, from), from)
 	}
@@ -283,7 +294,7 @@
 	}
 	// A read without waiting was triggered by a record that the watcher does not have: the watcher
 	// may be cut off from the store.
-	return nil, 0, pollUnusable
+	return nil, 0, pollNewer
 }
 
 // fetchFrom requests the records of an instance.
@@ -291,6 +302,10 @@
 	f := t.fetch(ctx, address, from, fetchBound)
 	switch f.result {
 	case resultFetched:
+		if len(f.records) > 0 {
+			t.roster.log.Info("records read from an instance of the zone", "topic", t.topic, "address", address, "from", from, "next", f.next,
+				"records", len(f.records), "age", time.Since(f.at))
+		}
 		t.markRead(f.at, f.next, f.records)
 		return f.records, f.next, pollRead
 	case resultBusy:
@@ -299,7 +314,7 @@
 	case resultExpired:
 		return nil, from, pollExpired
 	default:
-		return nil, 0, pollUnusable
+		return nil, 0, pollFailed
 	}
 }
 
