Give the age of a copy as of the reply, not of the latest heartbeat

Cause: a reply to an exchange carries the sender's heartbeat, and with it the ages of its copies as of the sender's latest round: up to 250 ms ago in a full mesh and 500 ms in a partial one. The receiver counts them from its request, so that the copy seems younger than it is, and passes the too young age on: each instance on the way adds up to a round. Behind a watcher that is cut off, the highest age of 1.875 s of 2.5 s became up to 2.6 s. Change: the positions in a reply are those of the moment at which it is made, as their comment claimed. Evidence: TestCopyAgeCountsWhenReplyIsMade failed before, at 14 of 15 instances of its partial mesh with 2.2 to 2.64 s (limit 1.975 s); its instances start at random moments, since with rounds that coincide the error is zero.

--- a/jay/jayroster/cutwatcher_test.go
+++ b/jay/jayroster/cutwatcher_test.go
@@ -35,7 +35,7 @@
 			for seed := range uint64(seeds) {
 				synctest.Test(t, func(t *testing.T) {
 					source := rand.New(rand.NewPCG(seed, 1))
-					z := newPolicyZone(t.Context(), test.instances, jaystore.LongPolled(test.effect))
+					z := newPolicyZone(t.Context(), test.instances, jaystore.LongPolled(test.effect), nil)
 					defer z.stop()
 					z.topic.put(policyText(1))
 					time.Sleep(10*time.Second + time.Duration(source.Int64N(int64(time.Second))))
@@ -63,6 +63,43 @@
 	}
 }
 
+// Guards against a copy that seems younger with each instance that passes it on, since a reply states
+// the age as of its sender's latest round of exchanges: an instance whose watcher is cut off from the store acts on the
+// copy beyond the highest age.
+func TestCopyAgeCountsWhenReplyIsMade(t *testing.T) {
+	const (
+		effect = 2500 * time.Millisecond
+		// answered is the time in which the store answers a read of an instance that is not cut off.
+		answered = 100 * time.Millisecond
+	)
+	tests := map[string]int{"full mesh, two others": 3, "full mesh": 8, "largest full mesh": 13, "partial mesh": 16}
+	for name, instances := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(4) {
+				synctest.Test(t, func(t *testing.T) {
+					source, fresh := rand.New(rand.NewPCG(seed, 2)), jaystore.LongPolled(effect)
+					z := newPolicyZone(t.Context(), instances, fresh, source)
+					defer z.stop()
+					z.topic.put(policyText(1))
+					time.Sleep(10*time.Second + time.Duration(source.Int64N(int64(time.Second))))
+					z.instances[0].store.cut.Store(true)
+					acknowledged := time.Now()
+					z.topic.put(policyText(2))
+					time.Sleep(2 * effect)
+					for n, i := range z.instances[1:] {
+						i.mu.Lock()
+						at, ok := i.appliedAt[1]
+						i.mu.Unlock()
+						if took := at.Sub(acknowledged); !ok || took > fresh.MaxAge+answered {
+							t.Errorf("seed %d: instance %d has the policy in force after %s (in force: %v), want at most %s", seed, n+1, took, ok, fresh.MaxAge+answered)
+						}
+					}
+				})
+			}
+		})
+	}
+}
+
 // Guards against bounds that do not leave the time that an instance needs to read the store itself.
 func TestFreshnessLeavesTimeToRead(t *testing.T) {
 	// readTime is what a read takes while the store is slow.
--- a/jay/jayroster/fanout_test.go
+++ b/jay/jayroster/fanout_test.go
@@ -180,12 +180,17 @@
 	wait      sync.WaitGroup
 }
 
-func newPolicyZone(ctx context.Context, count int, fresh jaystore.Freshness) *policyZone {
+// newPolicyZone starts a zone, with a pause before each instance, so that their rounds of exchanges do not
+// coincide, if there is a source.
+func newPolicyZone(ctx context.Context, count int, fresh jaystore.Freshness, source *rand.Rand) *policyZone {
 	z := &policyZone{topic: &policyTopic{changed: make(chan struct{}), wait: fresh.Wait}}
 	ctx, z.cancel = context.WithCancel(ctx)
 	network, log := jaystandin.NewNetwork(), slog.New(slog.DiscardHandler)
 	list := make([]jaystore.Record, 0, count)
 	for n := range count {
+		if source != nil {
+			time.Sleep(time.Duration(source.Int64N(int64(2 * jayroster.Period))))
+		}
 		host := network.Host(peerAddress(n), slowLink)
 		i := &policyInstance{version: -1, appliedAt: make(map[int64]time.Time), store: ownStore{policyTopic: z.topic}, host: host}
 		var record jaystore.Record
@@ -249,7 +254,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				z := newPolicyZone(t.Context(), test.instances, jaystore.Freshness{Wait: pollWait, MaxAge: 5500 * time.Millisecond})
+				z := newPolicyZone(t.Context(), test.instances, jaystore.Freshness{Wait: pollWait, MaxAge: 5500 * time.Millisecond}, nil)
 				defer z.stop()
 				z.topic.put(policyText(40))
 				time.Sleep(10 * time.Second)
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -214,6 +214,10 @@
 		now := time.Now()
 		s.merge(now, received)
 		reply = s.reply(now, received)
+		if reply.Self.Mirrors != nil {
+			// The heartbeat is as old as the latest round, and the receiver counts the ages from its request.
+			reply.Self.Mirrors = r.mirrors.Positions(now)
+		}
 	})
 	if err != nil {
 		return nil, jayerror.Wrap("exchange", KindFormat, err)
