Write to the store under the condition that a topic ends at an offset

Cause: an instance that removes another's entry must not remove one that has been written anew meanwhile, and a call without an answer may take effect seconds later. The stand-in checks the condition.

--- a/jay/jayroster/fanout_test.go
+++ b/jay/jayroster/fanout_test.go
@@ -47,7 +47,11 @@
 	p.changed = make(chan struct{})
 }
 
-func (*policyTopic) Put(context.Context, jaystore.Topic, string, []byte) error { return nil }
+func (*policyTopic) Put(context.Context, jaystore.Topic, string, []byte) (int64, error) {
+	return 0, nil
+}
+
+func (*policyTopic) PutAt(context.Context, jaystore.Topic, string, []byte, int64) error { return nil }
 
 func (p *policyTopic) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
 	return p.Read(ctx, topic, 0, nil)
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -231,7 +231,7 @@
 	if err := r.owner.Send(ctx, func(s *state) { r.exchangeAll(s, time.Now()) }); err != nil {
 		r.log.Warn("leaving state not sent", "error", err)
 	}
-	if err := r.writer.Put(ctx, jaystore.TopicMembers, r.self.Name, nil); err != nil {
+	if _, err := r.writer.Put(ctx, jaystore.TopicMembers, r.self.Name, nil); err != nil {
 		r.log.Warn("instance not removed from the list", "error", err)
 	}
 }
@@ -260,7 +260,7 @@
 		return
 	}
 	for backoff := Period; ctx.Err() == nil; backoff = min(2*backoff, maxRegisterBackoff) {
-		if err = r.writer.Put(ctx, jaystore.TopicMembers, r.self.Name, value); err == nil {
+		if _, err = r.writer.Put(ctx, jaystore.TopicMembers, r.self.Name, value); err == nil {
 			r.log.Info("instance registered", "instance", r.self.Name, "incarnation", r.self.Incarnation)
 			return
 		}
--- a/jay/jayroster/roster_test.go
+++ b/jay/jayroster/roster_test.go
@@ -36,10 +36,21 @@
 	}
 }
 
-func (s *store) Put(_ context.Context, _ jaystore.Topic, key string, value []byte) error {
+func (s *store) Put(_ context.Context, _ jaystore.Topic, key string, value []byte) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records = append(s.records, jaystore.Record{Key: key, Value: value, Offset: int64(len(s.records))})
+	offset := int64(len(s.records))
+	s.records = append(s.records, jaystore.Record{Key: key, Value: value, Offset: offset})
+	return offset, nil
+}
+
+func (s *store) PutAt(_ context.Context, _ jaystore.Topic, key string, value []byte, end int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if end != int64(len(s.records)) {
+		return jayerror.Newf("put", jaystore.KindConflict, "topic ends at %d, not at %d", len(s.records), end)
+	}
+	s.records = append(s.records, jaystore.Record{Key: key, Value: value, Offset: end})
 	return nil
 }
 
@@ -243,7 +254,7 @@
 			defer other.cancel()
 			rejected := startRejected(t, s)
 			defer rejected.cancel()
-			if err := s.Put(t.Context(), jaystore.TopicMembers, "news", []byte("x")); err != nil {
+			if _, err := s.Put(t.Context(), jaystore.TopicMembers, "news", []byte("x")); err != nil {
 				t.Fatal(err)
 			}
 			waitFor(t, "the record at the rejected instance", func() bool {
--- a/jay/jayroster/staleness_test.go
+++ b/jay/jayroster/staleness_test.go
@@ -45,7 +45,9 @@
 	r.records = append(r.records, jaystore.Record{Key: id, Value: value, Offset: int64(len(r.records))})
 }
 
-func (*registry) Put(context.Context, jaystore.Topic, string, []byte) error { return nil }
+func (*registry) Put(context.Context, jaystore.Topic, string, []byte) (int64, error) { return 0, nil }
+
+func (*registry) PutAt(context.Context, jaystore.Topic, string, []byte, int64) error { return nil }
 
 // Newest returns the newest record of each key, without those of removed keys.
 func (r *registry) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
--- a/jay/jaystore/log.go
+++ b/jay/jaystore/log.go
@@ -59,6 +59,9 @@
 
 // Writer writes records of keyed topics.
 type Writer interface {
-	// Put appends a record, which replaces the previous one of its key.
-	Put(ctx context.Context, topic Topic, key string, value []byte) error
+	// Put appends a record, which replaces the previous one of its key, and returns its offset.
+	Put(ctx context.Context, topic Topic, key string, value []byte) (offset int64, err error)
+	// PutAt is Put for a topic that ends at an offset: it fails with KindConflict, without an effect, if
+	// the topic has other records. A call without an answer takes effect later only if that still holds.
+	PutAt(ctx context.Context, topic Topic, key string, value []byte, end int64) error
 }
