Remove the entries of absent instances from the store's list

Cause: only a planned stop takes an entry off the list. An instance that is killed and replaced at another address, or whose leave did not reach the store, leaves its own behind for ever, and what counts or walks the list grows with each replacement. Change: jayexpiry decides which entry an instance removes: one absent for 15 s (30 s for the second in line, and so on), first those of the own zone, one a second at most. The removal is conditional on the end of the topic, so neither a late call nor a second remover takes off an entry that was written anew. An instance that finds its entry gone registers again; the delay then doubles for it. Evidence: TestEntriesAreThoseOfLiveInstances failed before in 6 of 11 cases, such as 12 entries of 6 instances after six replacements.

--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -59,6 +59,7 @@
 	for _, c := range contacts {
 		r.exchange(s, now, c)
 	}
+	r.removeExpired(s, now, members)
 	r.updateRank(s.view.Self(), s.candidates(now, members))
 	r.changed(members)
 	if r.reported != nil {
--- a/jay/jayroster/list.go
+++ b/jay/jayroster/list.go
@@ -10,13 +10,15 @@
 )
 
 // Replace sets the list of instances from the newest records of the store.
-func (r *Roster) Replace(ctx context.Context, records []jaystore.Record, _ int64) {
-	r.applyList(ctx, records, true)
+func (r *Roster) Replace(ctx context.Context, records []jaystore.Record, end int64) {
+	r.applyList(ctx, records, end, true)
 }
 
 // Apply applies changes of the list of instances.
 func (r *Roster) Apply(ctx context.Context, records []jaystore.Record) {
-	r.applyList(ctx, records, false)
+	if len(records) > 0 {
+		r.applyList(ctx, records, records[len(records)-1].Offset+1, false)
+	}
 }
 
 // Unavailable keeps the list as it is; instances go on exchanging heartbeats without the store.
@@ -25,11 +27,12 @@
 // Available does nothing, since the follower delivers the list itself.
 func (*Roster) Available(context.Context) {}
 
-func (r *Roster) applyList(ctx context.Context, records []jaystore.Record, replace bool) {
+func (r *Roster) applyList(ctx context.Context, records []jaystore.Record, end int64, replace bool) {
 	err := r.owner.Send(ctx, func(s *state) {
 		if replace {
 			clear(s.listed)
 		}
+		s.listEnd = end
 		for _, record := range records {
 			r.applyEntry(s, record)
 		}
@@ -39,6 +42,7 @@
 		}
 		s.view.List(list)
 		r.entries.Store(int64(len(list)))
+		r.checkEntry(s)
 	})
 	if err != nil {
 		r.log.Warn("list of instances not applied", "error", err)
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -14,7 +14,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"jayfield.example/jay/jayerror"
-	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaypeer"
@@ -95,6 +94,8 @@
 	positions positions
 	// entries is the number of entries in the store's list.
 	entries atomic.Int64
+	// leaving is set once the instance removes its own entry.
+	leaving atomic.Bool
 	// others holds all other instances as of the last round of exchanges.
 	others atomic.Pointer[[]jaymember.Status]
 }
@@ -225,17 +226,6 @@
 	return encode(reply)
 }
 
-// Leave starts an exchange at once, so that contacts receive the leaving state, and removes the
-// instance from the store's list.
-func (r *Roster) Leave(ctx context.Context) {
-	if err := r.owner.Send(ctx, func(s *state) { r.exchangeAll(s, time.Now()) }); err != nil {
-		r.log.Warn("leaving state not sent", "error", err)
-	}
-	if _, err := r.writer.Put(ctx, jaystore.TopicMembers, r.self.Name, nil); err != nil {
-		r.log.Warn("instance not removed from the list", "error", err)
-	}
-}
-
 // Stop ends the exchanges.
 func (r *Roster) Stop() {
 	r.group.Stop()
@@ -248,29 +238,3 @@
 		return true
 	})
 }
-
-// register writes the instance's entry to the store and retries until that succeeds.
-func (r *Roster) register(ctx context.Context) {
-	value, err := msgpack.Marshal(jaylist.Instance{
-		Name: r.self.Name, Sort: jaylist.SortEntry, Incarnation: r.self.Incarnation, Address: r.self.Address,
-		Peer: r.self.Peer, Region: r.self.Region, Zone: r.self.Zone, State: jaylist.StateLive,
-	})
-	if err != nil {
-		r.log.Error("instance entry not encoded", "error", err)
-		return
-	}
-	for backoff := Period; ctx.Err() == nil; backoff = min(2*backoff, maxRegisterBackoff) {
-		if _, err = r.writer.Put(ctx, jaystore.TopicMembers, r.self.Name, value); err == nil {
-			r.log.Info("instance registered", "instance", r.self.Name, "incarnation", r.self.Incarnation)
-			return
-		}
-		r.log.Warn("instance not registered yet", "error", err, "next", backoff)
-		select {
-		case <-time.After(backoff):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// maxRegisterBackoff bounds the backoff between two attempts to register the instance.
-const maxRegisterBackoff = 2 * time.Second
--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"jayfield.example/jay/jayexpiry"
 	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
 )
@@ -12,7 +13,11 @@
 type state struct {
 	view   *jaymember.View
 	listed map[string]jaylist.Instance
-	ledger *ledger
+	// listEnd is the offset up to which listed is complete, registeredAt that of the own entry or
+	// notRegistered, refusedEnd the listEnd of the latest removal that the store refused.
+	listEnd, registeredAt, refusedEnd int64
+	expiry                            *jayexpiry.Table
+	ledger                            *ledger
 	// peers holds the state of the exchanges, by the address of the other instance.
 	peers map[string]*peer
 	// sources holds what other instances have reported about members, by their incarnation.
@@ -70,6 +75,9 @@
 	sums sums
 }
 
+// notRegistered stands for the offset of an entry that does not exist.
+const notRegistered = -1
+
 // sourceTTL is the time without a digest after which what a source has reported is dropped.
 const sourceTTL = 10 * time.Second
 
@@ -78,6 +86,7 @@
 		view: jaymember.NewView(self), listed: make(map[string]jaylist.Instance), ledger: newLedger(), peers: make(map[string]*peer),
 		sources: make(map[string]*source), directAt: make(map[string]time.Time), zoneAt: make(map[string]time.Time),
 		zoneSums: make(map[string]receivedSums), positions: make(map[string]position),
+		expiry: jayexpiry.NewTable(), registeredAt: notRegistered, refusedEnd: notRegistered,
 	}
 }
 
