Choose the kind of mesh by the newest list that an instance in reach has read

Callers: an instance that is alive is left out of answers for moments, after an entry was added or removed at the limit of 13. Cause: each instance chooses by its own copy of the list, which may be up to 12 s old. A full mesh expects a request of each member with a higher incarnation, a partial one reports of hubs: instances of both kinds take each other for silent after 3 s. Entries that are removed make such changes more frequent. Change: a digest carries the end of the newest list that its sender knows of and the kind of mesh that follows; an instance whose own copy is older uses that kind. Instances of the former release ignore the fields and send none. Evidence: TestKindsOfMeshMayDiffer failed before in each of its four cases, entries added and removed, one zone and three.

--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -21,6 +21,10 @@
 	To          string `msgpack:"o,omitempty"`
 	// Self is the heartbeat of the sender.
 	Self jaymember.Member `msgpack:"s"`
+	// ListEnd is the offset up to which the newest list of instances is complete that the sender knows
+	// of, and Mesh the kind of mesh that follows from it. Instances of a former release report neither.
+	ListEnd int64    `msgpack:"l,omitempty"`
+	Mesh    meshKind `msgpack:"m,omitempty"`
 	// Version is the version of the sender's ledger up to which Changes lead, Ack that of the
 	// receiver's ledger up to which the sender has merged its changes.
 	Version uint64         `msgpack:"v,omitempty"`
@@ -223,6 +227,7 @@
 	if d.Incarnation == self.Incarnation || d.Self.Incarnation != d.Incarnation {
 		return
 	}
+	s.mergeList(d)
 	before, _ := s.view.Member(d.Incarnation)
 	s.view.Merge(now, d.Self)
 	if m, ok := s.view.Member(d.Incarnation); ok && m.Sequence > before.Sequence {
@@ -306,11 +311,18 @@
 	}
 }
 
+// digest returns what this instance reports to another one about itself and the list.
+func (s *state) digest(to string) digest {
+	self, list := s.view.Self(), s.listReport()
+	return digest{Incarnation: self.Incarnation, Zone: self.Zone, To: to, Self: self, ListEnd: list.end, Mesh: list.mesh}
+}
+
 // request returns the digest to send to a contact.
 func (s *state) request(now time.Time, c contact) digest {
-	self, src := s.view.Self(), s.source(c.incarnation)
-	d := digest{Incarnation: self.Incarnation, Zone: self.Zone, To: c.incarnation, Self: self, Ack: src.version, WantSums: c.wantSums}
-	if s.partialMesh() && c.zone != self.Zone {
+	src := s.source(c.incarnation)
+	d := s.digest(c.incarnation)
+	d.Ack, d.WantSums = src.version, c.wantSums
+	if s.partialMesh() && c.zone != d.Zone {
 		s.addZone(now, &d, src.acked)
 	}
 	return d
@@ -318,15 +330,15 @@
 
 // reply returns the reply to a digest.
 func (s *state) reply(now time.Time, received digest) digest {
-	self, src := s.view.Self(), s.source(received.Incarnation)
-	d := digest{Incarnation: self.Incarnation, Zone: self.Zone, To: received.Incarnation, Self: self, Ack: src.version}
+	d := s.digest(received.Incarnation)
+	d.Ack = s.source(received.Incarnation).version
 	acked := uint64(0)
-	if received.To == self.Incarnation {
+	if received.To == d.Incarnation {
 		acked = received.Ack
 	}
 	switch {
 	case !s.partialMesh():
-	case received.Zone != self.Zone:
+	case received.Zone != d.Zone:
 		s.addZone(now, &d, acked)
 	default:
 		d.Version, d.Changes = s.ledger.version, s.ledger.changesSince(acked, "")
--- a/jay/jayroster/mesh_test.go
+++ b/jay/jayroster/mesh_test.go
@@ -324,3 +324,50 @@
 		})
 	}
 }
+
+// Guards against instances that take each other for silent while their copies of the list differ, so that some
+// are in a full mesh and others in a partial one: a full mesh expects a request of each member with a higher incarnation.
+func TestKindsOfMeshMayDiffer(t *testing.T) {
+	tests := map[string]struct {
+		zones, perZone int
+		// grown is set if the newer list is the one with more entries.
+		grown bool
+	}{
+		"one zone, removed": {1, 13, false}, "three zones, removed": {3, 4, false},
+		"one zone, added": {1, 13, true}, "three zones, added": {3, 4, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				m, source := newMesh(test.zones, test.perZone), rand.New(rand.NewPCG(seed, 0))
+				for range 8 {
+					m.round()
+				}
+				for _, n := range m.nodes {
+					newer := source.IntN(2) == 0
+					n.listEnd = 20
+					if newer {
+						n.listEnd = 23
+					}
+					if newer != test.grown {
+						continue
+					}
+					for entry := range 3 {
+						n.listed[fmt.Sprint("gone", entry)] = jaylist.Instance{}
+					}
+				}
+				// A copy of the list is used for up to 12 s.
+				for range 24 {
+					m.round()
+					for _, n := range m.nodes {
+						for _, status := range n.view.Members() {
+							if status.Silent {
+								t.Fatalf("seed %d: %s (%s mesh) takes %s for silent", seed, n.address, map[bool]meshKind{false: meshFull, true: meshPartial}[n.partialMesh()], status.Name)
+							}
+						}
+					}
+				}
+			}
+		})
+	}
+}
--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -36,6 +36,14 @@
 	rounds    int
 	// mesh is the kind of mesh in the latest round.
 	mesh meshKind
+	// newerList is what another instance reported of a newer list than the own copy.
+	newerList listReport
+}
+
+// listReport is the kind of mesh that follows from the store's list up to an offset.
+type listReport struct {
+	end  int64
+	mesh meshKind
 }
 
 // meshKind is how instances choose those with which they exchange.
@@ -91,9 +99,12 @@
 }
 
 // partialMesh reports whether there are too many instances for a full mesh. It counts the store's
-// list, which is the same for all instances: their views of the members differ, and instances
-// of both kinds would miss each other's heartbeats.
+// list, since the views of the members differ, and instances of both kinds miss each other's
+// heartbeats. Of copies of the list that differ the newest decides, at all instances that are in reach.
 func (s *state) partialMesh() bool {
+	if s.newerList.end > s.listEnd {
+		return s.newerList.mesh == meshPartial
+	}
 	if len(s.listed) == 0 {
 		return s.view.Len() > maxFullMesh
 	}
@@ -102,15 +113,28 @@
 
 // updateMesh sets the kind of mesh of this round and reports whether it has changed.
 func (s *state) updateMesh() bool {
-	kind := meshFull
-	if s.partialMesh() {
-		kind = meshPartial
-	}
+	kind := s.listReport().mesh
 	changed := kind != s.mesh
 	s.mesh = kind
 	return changed
 }
 
+// listReport returns what this instance reports about the newest list that it knows of.
+func (s *state) listReport() listReport {
+	report := listReport{end: max(s.listEnd, s.newerList.end), mesh: meshFull}
+	if s.partialMesh() {
+		report.mesh = meshPartial
+	}
+	return report
+}
+
+// mergeList applies what another instance reports about the list.
+func (s *state) mergeList(d digest) {
+	if d.ListEnd > max(s.listEnd, s.newerList.end) {
+		s.newerList = listReport{end: d.ListEnd, mesh: d.Mesh}
+	}
+}
+
 // suspect reports whether the instance at an address does not answer this one.
 func (s *state) suspect(now time.Time, address string) bool {
 	p, ok := s.peers[address]
