Count the instances among which shares are divided in the roster's view

Change: the count moves from the edge to jaymember.View.Population, by the same rule, and reaches the edge with the members; no change of behaviour.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -276,16 +276,13 @@
 }
 
 // membersChanged processes a changed status of the other instances.
-func (e *Edge) membersChanged(members []jaymember.Status) {
+func (e *Edge) membersChanged(members []jaymember.Status, population int) {
 	e.members.Store(&members)
-	active, lowest := 1, true
+	lowest := true
 	for _, m := range members {
-		if !m.Silent || m.Listed {
-			active++
-		}
 		lowest = lowest && (!m.Usable() || e.self.Incarnation < m.Incarnation)
 	}
-	e.budgets.setMembers(active)
+	e.budgets.setMembers(population)
 	e.checkPolicyLag(members)
 	e.placer.setTrials(lowest)
 }
--- a/jay/jaymember/view.go
+++ b/jay/jaymember/view.go
@@ -129,6 +129,18 @@
 	return len(v.members)
 }
 
+// Population returns the number of instances among which shares are divided: this one, and the others
+// that are alive or listed.
+func (v *View) Population() int {
+	n := 1
+	for _, status := range v.members {
+		if !status.Silent || status.Listed {
+			n++
+		}
+	}
+	return n
+}
+
 // Members returns the other members, ordered by name and incarnation.
 func (v *View) Members() []Status {
 	list := make([]Status, 0, len(v.members))
--- a/jay/jayroster/entry_test.go
+++ b/jay/jayroster/entry_test.go
@@ -89,7 +89,8 @@
 	done        chan struct{}
 	// cut is set while the store does not answer the instance, and slow while it answers writes late.
 	cut, slow atomic.Bool
-	members   atomic.Pointer[[]jaymember.Status]
+	// population is the number of instances among which the instance divides shares.
+	population atomic.Int64
 }
 
 func (*memberInstance) FillHeartbeat(m *jaymember.Member) { m.Config = 1 }
@@ -194,7 +195,7 @@
 	s.started++
 	i := &memberInstance{log: s.log, incarnation: fmt.Sprintf("%03d", s.started), name: fmt.Sprint("i", n), done: make(chan struct{})}
 	i.host = s.network.Host(peerAddress(n), slowLink)
-	i.roster, _ = startIncarnation(n, i.incarnation, i.host, i.host.Listen(), i, i, func(members []jaymember.Status) { i.members.Store(&members) })
+	i.roster, _ = startIncarnation(n, i.incarnation, i.host, i.host.Listen(), i, i, func(_ []jaymember.Status, population int) { i.population.Store(int64(population)) })
 	mirror := jaystore.NewMirror(i.roster)
 	reader := i.roster.TopicReader(i, jaystore.TopicMembers, mirror, 12*time.Second, 0)
 	follower := jaystore.NewFollower(reader, jaystore.TopicMembers, mirror, 0, slog.New(slog.DiscardHandler), jaystore.WithBatchDelay(time.Second))
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -65,7 +65,7 @@
 	}
 	r.removeExpired(s, now, members)
 	r.updateRank(s.view.Self(), s.candidates(now, members))
-	r.changed(members)
+	r.changed(members, s.view.Population())
 	if r.reported != nil {
 		r.reported(s.report(now))
 	}
--- a/jay/jayroster/fanout_test.go
+++ b/jay/jayroster/fanout_test.go
@@ -158,7 +158,7 @@
 func (*policyInstance) Available(context.Context) {}
 
 // checkLag reads the store if other instances have had a newer version for some time, like an edge instance.
-func (i *policyInstance) checkLag(members []jaymember.Status) {
+func (i *policyInstance) checkLag(members []jaymember.Status, _ int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	newest := i.version
--- a/jay/jayroster/instance_test.go
+++ b/jay/jayroster/instance_test.go
@@ -23,12 +23,12 @@
 
 // startPeer starts the roster of the instance with a number on a host of a stand-in network. It also
 // returns the record of the instance in the store's list.
-func startPeer(n int, host *jaystandin.Host, listener net.Listener, source jayroster.Source, writer jaystore.Writer, changed func([]jaymember.Status)) (*jayroster.Roster, jaystore.Record) {
+func startPeer(n int, host *jaystandin.Host, listener net.Listener, source jayroster.Source, writer jaystore.Writer, changed func([]jaymember.Status, int)) (*jayroster.Roster, jaystore.Record) {
 	return startIncarnation(n, fmt.Sprintf("%03d", n), host, listener, source, writer, changed)
 }
 
 // startIncarnation is startPeer for an incarnation.
-func startIncarnation(n int, incarnation string, host *jaystandin.Host, listener net.Listener, source jayroster.Source, writer jaystore.Writer, changed func([]jaymember.Status)) (*jayroster.Roster, jaystore.Record) {
+func startIncarnation(n int, incarnation string, host *jaystandin.Host, listener net.Listener, source jayroster.Source, writer jaystore.Writer, changed func([]jaymember.Status, int)) (*jayroster.Roster, jaystore.Record) {
 	address := peerAddress(n)
 	self := jaymember.Member{Name: fmt.Sprint("i", n), Incarnation: incarnation, Address: address, Peer: address, Region: "r", Zone: "z", Config: -1}
 	roster := jayroster.Start(jayroster.Options{
--- a/jay/jayroster/removal_test.go
+++ b/jay/jayroster/removal_test.go
@@ -46,7 +46,7 @@
 	}
 	ctx, i.cancel = context.WithCancel(ctx)
 	var record jaystore.Record
-	i.roster, record = startIncarnation(n, fmt.Sprintf("%08x", z.ordinals.Uint32()), i.host, i.host.Listen(), i, z.registry, func([]jaymember.Status) {})
+	i.roster, record = startIncarnation(n, fmt.Sprintf("%08x", z.ordinals.Uint32()), i.host, i.host.Listen(), i, z.registry, func([]jaymember.Status, int) {})
 	z.list = append(z.list, record)
 	z.running[n] = i
 	for _, other := range z.running {
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -79,7 +79,7 @@
 	server  *jaypeer.Server
 	log     *slog.Logger
 	series  Series
-	changed func(members []jaymember.Status)
+	changed func(members []jaymember.Status, population int)
 	started time.Time
 
 	reported func(Report)
@@ -146,8 +146,9 @@
 	Client []jaypeer.ClientOption
 	Log    *slog.Logger
 	Series Series
-	// Changed is called with all other members in each round of exchanges.
-	Changed func(members []jaymember.Status)
+	// Changed is called in each round of exchanges with all other members and the number of instances
+	// among which shares are divided.
+	Changed func(members []jaymember.Status, population int)
 	// Reported is called in each round with what the other instances report, if it is set.
 	Reported func(report Report)
 }
--- a/jay/jayroster/roster_test.go
+++ b/jay/jayroster/roster_test.go
@@ -122,7 +122,7 @@
 	i.roster = jayroster.Start(jayroster.Options{
 		Self:   jaymember.Member{Name: name, Incarnation: fmt.Sprintf("%03d", n), Address: name, Peer: listener.Addr().String(), Region: zone, Zone: zone, Config: -1},
 		Source: source{}, Writer: s, Key: []byte("0123456789abcdef"), Listener: listener, Log: log, Series: jaymetric.NewExposition(),
-		Changed: func(members []jaymember.Status) {
+		Changed: func(members []jaymember.Status, _ int) {
 			i.mu.Lock()
 			defer i.mu.Unlock()
 			i.seen = members
--- a/jay/jayroster/staleness_test.go
+++ b/jay/jayroster/staleness_test.go
@@ -144,7 +144,7 @@
 	for n := range count {
 		i := newRegistryInstance(z.network.Host(peerAddress(n), fastLink))
 		var record jaystore.Record
-		i.roster, record = startPeer(n, i.host, i.host.Listen(), i, z.registry, func([]jaymember.Status) {})
+		i.roster, record = startPeer(n, i.host, i.host.Listen(), i, z.registry, func([]jaymember.Status, int) {})
 		list = append(list, record)
 		z.instances = append(z.instances, i)
 	}
