Count listed instances that are not known yet in the division of the retry budget

Callers: while an instance starts, retries beyond the budget may reach engines that are already in trouble. Cause: a new instance counts the members of its view; the others are seeds to it until it has exchanged with them, and the dead for good. It divides the budget by 1 in its first round, the others by more than there are. Change: seeds count too, as other listed instances do. Evidence: TestInstancesDivideByTheSameNumber failed before: each of 14 replacements divided by 1, want 6. Result: it passes: at least 6 from the first round on, and 6 at each instance 45 s after 14 replacements, whose entries are removed.

--- a/jay/jaymember/view.go
+++ b/jay/jaymember/view.go
@@ -130,9 +130,9 @@
 }
 
 // Population returns the number of instances among which shares are divided: this one, and the others
-// that are alive or listed.
+// that are alive or listed. A seed counts, since it may be alive.
 func (v *View) Population() int {
-	n := 1
+	n := 1 + len(v.seeds)
 	for _, status := range v.members {
 		if !status.Silent || status.Listed {
 			n++
--- a/jay/jayroster/entry_test.go
+++ b/jay/jayroster/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -89,8 +90,8 @@
 	done        chan struct{}
 	// cut is set while the store does not answer the instance, and slow while it answers writes late.
 	cut, slow atomic.Bool
-	// population is the number of instances among which the instance divides shares.
-	population atomic.Int64
+	// population is the number of instances among which the instance divides shares, least the least so far.
+	population, least atomic.Int64
 }
 
 func (*memberInstance) FillHeartbeat(m *jaymember.Member) { m.Config = 1 }
@@ -195,7 +196,11 @@
 	s.started++
 	i := &memberInstance{log: s.log, incarnation: fmt.Sprintf("%03d", s.started), name: fmt.Sprint("i", n), done: make(chan struct{})}
 	i.host = s.network.Host(peerAddress(n), slowLink)
-	i.roster, _ = startIncarnation(n, i.incarnation, i.host, i.host.Listen(), i, i, func(_ []jaymember.Status, population int) { i.population.Store(int64(population)) })
+	i.least.Store(math.MaxInt64)
+	i.roster, _ = startIncarnation(n, i.incarnation, i.host, i.host.Listen(), i, i, func(_ []jaymember.Status, population int) {
+		i.population.Store(int64(population))
+		i.least.Store(min(i.least.Load(), int64(population)))
+	})
 	mirror := jaystore.NewMirror(i.roster)
 	reader := i.roster.TopicReader(i, jaystore.TopicMembers, mirror, 12*time.Second, 0)
 	follower := jaystore.NewFollower(reader, jaystore.TopicMembers, mirror, 0, slog.New(slog.DiscardHandler), jaystore.WithBatchDelay(time.Second))
@@ -364,3 +369,29 @@
 		})
 	}
 }
+
+// Guards against instances that divide the retry budget by different numbers: those that saw others die count their
+// entries for good, and a new one, to which all entries are seeds, counts only itself at first, and the dead never.
+func TestInstancesDivideByTheSameNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const live = 6
+		s := newMemberSite(t, live)
+		defer s.stop()
+		time.Sleep(5 * time.Second)
+		for n := range 14 {
+			s.kill(n)
+			s.start(n + live)
+			time.Sleep(400 * time.Millisecond)
+			if least := s.instances[n+live].least.Load(); least < live {
+				t.Errorf("replacement %d divided by %d, want at least %d", n, least, live)
+			}
+			time.Sleep(400 * time.Millisecond)
+		}
+		time.Sleep(45 * time.Second)
+		for _, i := range s.instances {
+			if got := i.population.Load(); got != live {
+				t.Errorf("%s divides by %d, want %d", i.name, got, live)
+			}
+		}
+	})
+}
