Close connections to instances that are gone

Cause: the roster keeps a client for each address and topic for good; with replacements at new addresses they grow without a limit. Change: each round closes those to addresses of neither a member nor a seed; a gauge, member_connections, shows their number. Evidence: TestConnectionsAreThoseToKnownInstances failed before: 13 to 16 connections to 3 instances after 12 replacements. Result: at most 6.

--- a/jay/jayedge/metric.go
+++ b/jay/jayedge/metric.go
@@ -27,6 +27,7 @@
 	e.series.Gauge("members", func() float64 { return float64(len(*e.members.Load())) })
 	e.series.Gauge("members_live", func() float64 { return float64(jaymember.Live(*e.members.Load())) })
 	e.series.Gauge("member_entries", func() float64 { return float64(e.roster.Entries()) })
+	e.series.Gauge("member_connections", func() float64 { return float64(e.roster.Connections()) })
 	e.series.Gauge("connections_opened", func() float64 { return float64(e.pool.Opened()) })
 	e.series.Gauge("buffered_bytes", func() float64 { return float64(e.memory.Used()) })
 	router := bunrouter.New()
--- a/jay/jayroster/entry_test.go
+++ b/jay/jayroster/entry_test.go
@@ -395,3 +395,25 @@
 		}
 	})
 }
+
+// Guards against connections to instances that are gone, which are kept for good.
+func TestConnectionsAreThoseToKnownInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const live = 4
+		s := newMemberSite(t, live)
+		defer s.stop()
+		time.Sleep(5 * time.Second)
+		for n := range 12 {
+			s.kill(n)
+			s.start(n + live)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(90 * time.Second)
+		for _, i := range s.instances {
+			// One for heartbeats and one for the topic to each of the others.
+			if got := i.roster.Connections(); got > 2*(live-1) {
+				t.Errorf("%s keeps %d connections to %d instances", i.name, got, live-1)
+			}
+		}
+	})
+}
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -57,6 +57,7 @@
 		self.Mirrors = r.mirrors.Positions(now)
 	})
 	r.others.Store(&members)
+	r.closeConnections(s)
 	if s.updateMesh() {
 		r.log.Info("kind of mesh changed", "mesh", s.mesh, "entries", len(s.listed), "live", 1+jaymember.Live(members), "limit", maxFullMesh+1)
 	}
@@ -71,6 +72,19 @@
 	}
 }
 
+// closeConnections drops the connections to addresses of instances that are gone.
+func (r *Roster) closeConnections(s *state) {
+	r.clients.Range(func(key, value any) bool {
+		to, isConnection := key.(connection)
+		client, isClient := value.(*jaypeer.Client)
+		if isConnection && isClient && !s.addresses[to.address] {
+			r.clients.Delete(key)
+			r.group.Go(func(context.Context) { client.Close() })
+		}
+		return true
+	})
+}
+
 // beginRound updates this instance's heartbeat and what it reports, and returns all members and the
 // contacts of the round.
 func (s *state) beginRound(now time.Time, fill func(self *jaymember.Member)) ([]jaymember.Status, []contact) {
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -202,6 +202,16 @@
 	return client
 }
 
+// Connections returns the number of connections to other instances that are kept for reuse.
+func (r *Roster) Connections() int {
+	n := 0
+	r.clients.Range(func(_, _ any) bool {
+		n++
+		return true
+	})
+	return n
+}
+
 // HandlePeer handles a digest exchange or a mirrorRequest.
 func (r *Roster) HandlePeer(ctx context.Context, topic jaypeer.Topic, body []byte) ([]byte, error) {
 	if topic == jaypeer.TopicMirror {
--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -20,6 +20,8 @@
 	ledger                            *ledger
 	// peers holds the state of the exchanges, by the address of the other instance.
 	peers map[string]*peer
+	// addresses holds the addresses of all members and seeds as of the latest round.
+	addresses map[string]bool
 	// sources holds what other instances have reported about members, by their incarnation.
 	sources map[string]*source
 	// directAt is when each instance last sent its own heartbeat, and zoneAt when an instance of
@@ -188,17 +190,18 @@
 			delete(s.positions, incarnation)
 		}
 	}
-	known, addresses := make(map[string]bool, len(members)), make(map[string]bool, len(members))
+	known := make(map[string]bool, len(members))
+	s.addresses = make(map[string]bool, len(members))
 	for _, m := range members {
-		known[m.Incarnation], addresses[m.Peer] = true, true
+		known[m.Incarnation], s.addresses[m.Peer] = true, true
 	}
 	for _, seed := range s.view.Seeds() {
-		addresses[seed.Peer] = true
+		s.addresses[seed.Peer] = true
 	}
 	for _, src := range s.sources {
 		maps.DeleteFunc(src.members, func(_ uint32, m *reportedMember) bool { return !m.state.Alive && !known[m.identity.Incarnation] })
 	}
 	maps.DeleteFunc(s.directAt, func(incarnation string, _ time.Time) bool { return !known[incarnation] })
 	maps.DeleteFunc(s.zoneAt, func(incarnation string, _ time.Time) bool { return !known[incarnation] })
-	maps.DeleteFunc(s.peers, func(address string, p *peer) bool { return p.sentAt.IsZero() && !addresses[address] })
+	maps.DeleteFunc(s.peers, func(address string, p *peer) bool { return p.sentAt.IsZero() && !s.addresses[address] })
 }
