Append a checkpoint only where the log ends at its position

Cause: two instances whose random delays end close together each append a checkpoint of the same state. The second is one offset behind its own position; a reader that begins there cannot know that only the other checkpoint lies between, and rightly uses neither. A publish between the read and the append has the same effect. The stand-in log checks the condition; one that ignores it behaves as before.

--- a/jay/jayconfig/follower.go
+++ b/jay/jayconfig/follower.go
@@ -36,7 +36,8 @@
 
 // Appender appends records to the stream.
 type Appender interface {
-	Append(ctx context.Context, stream jaylog.Stream, record jaylog.Record) (int64, error)
+	// AppendAt appends a record if the stream ends at an offset, and fails with jaylog.KindConflict if not.
+	AppendAt(ctx context.Context, stream jaylog.Stream, record jaylog.Record, end int64) (int64, error)
 }
 
 // Peers fetches snapshots from other instances.
@@ -227,7 +228,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
 	defer cancel()
-	if _, err := f.Appender.Append(ctx, jaylog.StreamConfig, f.Writer.Record(RecordCheckpoint, body)); err != nil {
+	// The checkpoint covers all records before it, or is not written: the log may expire up to it.
+	_, err = f.Appender.AppendAt(ctx, jaylog.StreamConfig, f.Writer.Record(RecordCheckpoint, body), state.Position())
+	if jayerror.Is(err, jaylog.KindConflict) {
+		f.Log.Info("checkpoint not written, since there are newer records", "position", state.Position())
+		return
+	}
+	if err != nil {
 		f.Log.Warn("cannot append checkpoint", "error", err)
 		return
 	}
--- a/jay/jaylog/client.go
+++ b/jay/jaylog/client.go
@@ -68,7 +68,7 @@
 	}
 	var unknown error
 	for {
-		offset, err := c.appendOnce(ctx, stream, body)
+		offset, err := c.appendOnce(ctx, stream, body, "")
 		switch {
 		case jayerror.Is(err, KindUnavailable):
 			unknown = err
@@ -85,6 +85,16 @@
 	}
 }
 
+// AppendAt adds a record if the stream ends at an offset, and returns KindConflict if it does not. It makes one
+// attempt; KindUnavailable means that the record may take effect, but only at this offset.
+func (c *Client) AppendAt(ctx context.Context, stream Stream, record Record, end int64) (int64, error) {
+	body, err := msgpack.Marshal(&record)
+	if err != nil {
+		return 0, jayerror.Wrap("append", KindRefused, err)
+	}
+	return c.appendOnce(ctx, stream, body, fmt.Sprintf("?at=%d", end))
+}
+
 // Close releases idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
@@ -115,19 +125,22 @@
 	Offset int64 `msgpack:"o"`
 }
 
-func (c *Client) appendOnce(ctx context.Context, stream Stream, body []byte) (int64, error) {
+// appendOnce makes one attempt of an append; query holds its condition, if there is one.
+func (c *Client) appendOnce(ctx context.Context, stream Stream, body []byte, query string) (int64, error) {
 	if err := c.budget.Wait(ctx); err != nil {
 		return 0, jayerror.Wrap("append", KindBudget, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var reply appended
-	status, err := c.do(ctx, http.MethodPost, c.address+"/v1/streams/"+string(stream), body, &reply)
+	status, err := c.do(ctx, http.MethodPost, c.address+"/v1/streams/"+string(stream)+query, body, &reply)
 	switch {
 	case err != nil:
 		return 0, jayerror.Wrap("append", KindUnavailable, err)
 	case status == http.StatusOK:
 		return reply.Offset, nil
+	case status == http.StatusPreconditionFailed:
+		return 0, jayerror.New("append", KindConflict, "the stream does not end at the offset")
 	case status >= http.StatusInternalServerError || status == http.StatusTooManyRequests:
 		return 0, jayerror.Newf("append", KindUnavailable, "status %d", status)
 	default:
--- a/jay/jaylog/client_test.go
+++ b/jay/jaylog/client_test.go
@@ -79,3 +79,33 @@
 		t.Errorf("batch = %+v, error = %v", batch, err)
 	}
 }
+
+// A checkpoint must not be appended after records that its writer has not read.
+func TestAppendAtNeedsEndOfStream(t *testing.T) {
+	tests := map[string]struct {
+		end  int64
+		kind jaylog.Kind
+	}{
+		"at the end":               {1, ""},
+		"before a record":          {0, jaylog.KindConflict},
+		"beyond the newest record": {2, jaylog.KindConflict},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			platform := jaystandin.NewPlatform()
+			server := httptest.NewServer(platform.Handler())
+			defer server.Close()
+			client, writer := jaylog.NewClient(server.URL), jaylog.NewWriter("w")
+			if _, err := client.Append(t.Context(), jaylog.StreamConfig, writer.Record("k", nil)); err != nil {
+				t.Fatal(err)
+			}
+			offset, err := client.AppendAt(t.Context(), jaylog.StreamConfig, writer.Record("k", nil), test.end)
+			if test.kind == "" && (err != nil || offset != test.end) || test.kind != "" && !jayerror.Is(err, test.kind) {
+				t.Errorf("offset %d, error %v, want kind %q", offset, err, test.kind)
+			}
+			if end, want := platform.End(jaylog.StreamConfig), int64(1); test.kind != "" && end != want {
+				t.Errorf("the stream ends at %d, want %d", end, want)
+			}
+		})
+	}
+}
--- a/jay/jaylog/error.go
+++ b/jay/jaylog/error.go
@@ -13,6 +13,8 @@
 	KindUnavailable Kind = "unavailable"
 	// KindRefused means that the log refused the request; nothing took effect.
 	KindRefused Kind = "refused"
+	// KindConflict means that the condition of an append did not hold; nothing took effect.
+	KindConflict Kind = "conflict"
 	// KindBudget means that the append budget is spent; nothing was sent.
 	KindBudget Kind = "budget"
 )
--- a/jay/jaystandin/platform.go
+++ b/jay/jaystandin/platform.go
@@ -111,7 +111,11 @@
 		return err
 	}
 	time.Sleep(faults.Latency)
-	offset := p.stream(jaylog.Stream(r.Param("name"))).append(record)
+	offset, ok := p.stream(jaylog.Stream(r.Param("name"))).append(record, r.URL.Query().Get("at"))
+	if !ok {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return nil
+	}
 	if p.countAppend() {
 		panic(http.ErrAbortHandler)
 	}
--- a/jay/jaystandin/stream.go
+++ b/jay/jaystandin/stream.go
@@ -1,6 +1,7 @@
 package jaystandin
 
 import (
+	"strconv"
 	"sync"
 
 	"jayfield.example/jay/jaylog"
@@ -19,14 +20,17 @@
 	return &stream{grown: make(chan struct{})}
 }
 
-func (s *stream) append(record jaylog.Record) int64 {
+func (s *stream) append(record jaylog.Record, at string) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	offset := s.oldest + int64(len(s.entries))
+	if at != "" && at != strconv.FormatInt(offset, 10) {
+		return 0, false
+	}
 	s.entries = append(s.entries, jaylog.Entry{Offset: offset, Record: record})
 	close(s.grown)
 	s.grown = make(chan struct{})
-	return offset
+	return offset, true
 }
 
 // expire drops all records before an offset.
