Test the age of the registry behind a watcher that only the store does not answer

Cause: the mutation "follow a copy of the registry of any age" was missed by TestRegistryIsNeverOlderThanDrainTime, since none of its cases has a watcher that is cut off from the store and answers the other instances. Change: three such cases, full and partial mesh, one with an instance that leaves; checks and bounds stay. The stand-in store of the members delays all calls of a slow instance, not only conditional ones, so that the mutation that removes without the condition is caught; a benchmark of jayexpiry.

--- a/jay/jayexpiry/table_test.go
+++ b/jay/jayexpiry/table_test.go
@@ -1,6 +1,7 @@
 package jayexpiry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +92,17 @@
 		t.Errorf("%d calls in an hour, want at most 130", calls)
 	}
 }
+
+// BenchmarkObserve measures a round at the size of docs/CAPACITY.md.
+func BenchmarkObserve(b *testing.B) {
+	o := jayexpiry.Observation{Self: jayexpiry.Instance{Name: "self", Incarnation: "self", Zone: "z0"}}
+	for n := range 980 {
+		i := jayexpiry.Instance{Name: fmt.Sprint("i", n), Incarnation: fmt.Sprint("i", n), Zone: fmt.Sprint("z", n%29)}
+		o.Live, o.Entries = append(o.Live, i), append(o.Entries, i)
+	}
+	table, now := jayexpiry.NewTable(), time.Unix(1000, 0)
+	for b.Loop() {
+		now = now.Add(500 * time.Millisecond)
+		table.Observe(now, o)
+	}
+}
--- a/jay/jayroster/entry_test.go
+++ b/jay/jayroster/entry_test.go
@@ -88,7 +88,7 @@
 	incarnation string
 	cancel      context.CancelFunc
 	done        chan struct{}
-	// cut is set while the store does not answer the instance, and slow while it answers writes late.
+	// cut is set while the store does not answer the instance, and slow while its calls arrive late.
 	cut, slow atomic.Bool
 	// population is the number of instances among which the instance divides shares, least the least so far.
 	population, least atomic.Int64
@@ -97,6 +97,9 @@
 func (*memberInstance) FillHeartbeat(m *jaymember.Member) { m.Config = 1 }
 
 func (i *memberInstance) reach(ctx context.Context) error {
+	if i.slow.Load() {
+		time.Sleep(4 * time.Second)
+	}
 	if !i.cut.Load() && !i.log.away.Load() {
 		return nil
 	}
@@ -120,9 +123,6 @@
 	if err := i.reach(ctx); err != nil {
 		return err
 	}
-	if i.slow.Load() {
-		time.Sleep(4 * time.Second)
-	}
 	i.log.mu.Lock()
 	defer i.log.mu.Unlock()
 	if end != int64(len(i.log.records)) {
--- a/jay/jayroster/staleness_test.go
+++ b/jay/jayroster/staleness_test.go
@@ -7,10 +7,12 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jayroster"
 	"jayfield.example/jay/jaystandin"
@@ -68,8 +70,41 @@
 	return append([]jaystore.Record{}, r.records[min(from, int64(len(r.records))):]...), int64(len(r.records)), nil
 }
 
+// registryReader is the registry as one instance reaches it.
+type registryReader struct {
+	*registry
+	// cut is set while the store does not answer the instance.
+	cut atomic.Bool
+}
+
+func (r *registryReader) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+	if err := r.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	return r.registry.Newest(ctx, topic)
+}
+
+func (r *registryReader) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+	if err := r.reach(ctx); err != nil {
+		return nil, from, err
+	}
+	return r.registry.Read(ctx, topic, from, interrupt)
+}
+
+func (r *registryReader) reach(ctx context.Context) error {
+	if !r.cut.Load() {
+		return nil
+	}
+	select {
+	case <-time.After(time.Second):
+	case <-ctx.Done():
+	}
+	return jayerror.New("read", jaystore.KindUnavailable, "no answer")
+}
+
 // registryInstance is an instance that follows the registry.
 type registryInstance struct {
+	reader  *registryReader
 	host    *jaystandin.Host
 	roster  *jayroster.Roster
 	mu      sync.Mutex
@@ -143,6 +178,7 @@
 	list := make([]jaystore.Record, 0, count)
 	for n := range count {
 		i := newRegistryInstance(z.network.Host(peerAddress(n), fastLink))
+		i.reader = &registryReader{registry: z.registry}
 		var record jaystore.Record
 		i.roster, record = startPeer(n, i.host, i.host.Listen(), i, z.registry, func([]jaymember.Status, int) {})
 		list = append(list, record)
@@ -151,7 +187,7 @@
 	for _, i := range z.instances {
 		i.roster.Replace(ctx, list, int64(count))
 		mirror := jaystore.NewMirror(i)
-		reader := i.roster.TopicReader(z.registry, jaystore.TopicUpstreams, mirror, 7*drainTime/10, 36*drainTime/100)
+		reader := i.roster.TopicReader(i.reader, jaystore.TopicUpstreams, mirror, 7*drainTime/10, 36*drainTime/100)
 		follower := jaystore.NewFollower(reader, jaystore.TopicUpstreams, mirror, 250*time.Millisecond, log)
 		z.wait.Go(func() { follower.Run(ctx) })
 	}
@@ -184,13 +220,18 @@
 		instances int
 		frozen    []int
 		leaving   int
+		// cut are the instances that the store does not answer, while other instances reach them.
+		cut []int
 	}{
-		"silent connections":                   {8, nil, -1},
-		"silent connections, watcher frozen":   {8, []int{0}, 1},
-		"silent connections, many instances":   {16, nil, -1},
-		"many instances, first frozen":         {16, []int{0}, 1},
-		"many instances, first three frozen":   {16, []int{0, 1, 2}, 3},
-		"silent connections, last one leaving": {8, nil, 7},
+		"silent connections":                       {8, nil, -1, nil},
+		"silent connections, watcher frozen":       {8, []int{0}, 1, nil},
+		"silent connections, many instances":       {16, nil, -1, nil},
+		"many instances, first frozen":             {16, []int{0}, 1, nil},
+		"many instances, first three frozen":       {16, []int{0, 1, 2}, 3, nil},
+		"silent connections, last one leaving":     {8, nil, 7, nil},
+		"watcher cut off from the store":           {8, nil, -1, []int{0}},
+		"many instances, both hubs cut off":        {16, nil, -1, []int{0, 1}},
+		"many instances, cut off, another leaving": {16, nil, 2, []int{0}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -206,10 +247,14 @@
 					}
 					z.network.Silence(0.7, source)
 					time.Sleep(4*time.Second + time.Duration(source.Int64N(int64(2*time.Second))))
-					frozen := make(map[int]bool)
+					outOfTouch := make(map[int]bool)
 					for _, n := range test.frozen {
 						z.instances[n].host.Pause(3 * time.Second)
-						frozen[n] = true
+						outOfTouch[n] = true
+					}
+					for _, n := range test.cut {
+						z.instances[n].reader.cut.Store(true)
+						outOfTouch[n] = true
 					}
 					if test.leaving >= 0 {
 						go z.leave(t.Context(), test.leaving)
@@ -218,7 +263,7 @@
 						time.Sleep(time.Duration(source.Int64N(int64(700 * time.Millisecond))))
 						id, removedAt := fmt.Sprint("upstream-", n), time.Now()
 						z.registry.remove(id)
-						defer z.check(t, seed, id, removedAt, frozen)
+						defer z.check(t, seed, id, removedAt, outOfTouch)
 					}
 					time.Sleep(10 * time.Second)
 				})
@@ -227,12 +272,12 @@
 	}
 }
 
-// check reports the instances that were not frozen and applied a removal later than drainTime.
-func (z *registryZone) check(t *testing.T, seed uint64, id string, removedAt time.Time, frozen map[int]bool) {
+// check reports the instances that were neither frozen nor cut off and applied a removal later than drainTime.
+func (z *registryZone) check(t *testing.T, seed uint64, id string, removedAt time.Time, outOfTouch map[int]bool) {
 	t.Helper()
 	for n, i := range z.instances {
 		at, ok := i.removal(id)
-		if took := at.Sub(removedAt); !frozen[n] && (!ok || took > drainTime) {
+		if took := at.Sub(removedAt); !outOfTouch[n] && (!ok || took > drainTime) {
 			t.Errorf("seed %d: instance %d applied the removal of %s after %s, want at most %s", seed, n, id, took, drainTime)
 		}
 	}
