Read the list of instances as soon as any topic reaches the store after a long outage

Callers: an instance that was cut off for long and removed from the list stays unknown to those that start meanwhile, for some seconds more than it has to. Cause: the three topics share a limit of one retry a second, so the list's turn may come seconds after another topic reached the store; only then does the instance see that it has to register again.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"jayfield.example/jay/jayentry"
+	"jayfield.example/jay/jayexpiry"
 	"jayfield.example/jay/jaylimit"
 	"jayfield.example/jay/jaylink"
 	"jayfield.example/jay/jaymember"
@@ -118,9 +119,11 @@
 		e.placer.owner.Stop()
 		return nil, err
 	}
-	e.follow(store, jaystore.TopicMembers, jaystore.NewMirror(e.roster), 0, jaystore.Freshness{MaxAge: memberMaxAge}, jaystore.WithBatchDelay(memberBatchDelay))
-	e.policyFollower.Store(e.follow(store, jaystore.TopicPolicy, jaystore.NewMirror(e.policies), 0, policy))
-	e.follow(store, jaystore.TopicUpstreams, jaystore.NewMirror(e.placer, jaystore.WithDeduplication(e.placer.duplicates)), registryPollInterval, registry)
+	members := e.follow(store, jaystore.TopicMembers, jaystore.NewMirror(e.roster), 0, jaystore.Freshness{MaxAge: memberMaxAge}, jaystore.WithBatchDelay(memberBatchDelay))
+	// Before that time no other instance removes this one from the list.
+	retryMembers := jaystore.WithAvailable(func() { members.RetryNow(jayexpiry.Delay) })
+	e.policyFollower.Store(e.follow(store, jaystore.TopicPolicy, jaystore.NewMirror(e.policies), 0, policy, retryMembers))
+	e.follow(store, jaystore.TopicUpstreams, jaystore.NewMirror(e.placer, jaystore.WithDeduplication(e.placer.duplicates)), registryPollInterval, registry, retryMembers)
 	e.group.Every(sweepInterval, func(context.Context) { e.pool.Sweep(time.Now()) })
 	log.Info("instance started", "instance", e.self.Name, "incarnation", e.self.Incarnation, "zone", e.self.Zone,
 		"caller", settings.Caller, "store", settings.Store)
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -48,6 +49,11 @@
 	return func(f *Follower) { f.batchDelay = batchDelay }
 }
 
+// WithAvailable makes a follower call a function each time that the store becomes available again.
+func WithAvailable(available func()) FollowerOption {
+	return func(f *Follower) { f.onAvailable = available }
+}
+
 // Follower reads a topic, starting with a snapshot of its newest records.
 type Follower struct {
 	reader   Reader
@@ -67,6 +73,10 @@
 	// immediate makes the next read return without waiting for a record.
 	immediate bool
 	readNow   chan struct{}
+	// onAvailable is nil or called when the store becomes available again.
+	onAvailable func()
+	// failingSince is when the store became unavailable, nil while it is available.
+	failingSince atomic.Pointer[time.Time]
 }
 
 // NewFollower returns a follower that reads once per interval, or uses long polling if the interval is 0.
@@ -87,6 +97,14 @@
 	}
 }
 
+// RetryNow ends the pause after a failed call if the store has been unavailable to this follower for some
+// time, for a caller that has observed that the store is available again.
+func (f *Follower) RetryNow(outage time.Duration) {
+	if since := f.failingSince.Load(); since != nil && time.Since(*since) >= outage {
+		f.ReadNow()
+	}
+}
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -165,6 +183,8 @@
 	}
 	if !f.unavailable {
 		f.unavailable = true
+		now := time.Now()
+		f.failingSince.Store(&now)
 		f.log.Warn("store unavailable", "topic", f.topic, "offset", f.next, "error", err)
 		f.consumer.Unavailable(ctx, err)
 	}
@@ -182,6 +202,10 @@
 		return
 	}
 	f.unavailable = false
+	f.failingSince.Store(nil)
 	f.log.Info("store available again", "topic", f.topic, "offset", f.next)
 	f.consumer.Available(ctx)
+	if f.onAvailable != nil {
+		f.onAvailable()
+	}
 }
