Show refusals by a header limit that a newer configuration has raised

Cause: a connection keeps the limits that applied when it was accepted, so that kept connections refuse headers that the configuration in force allows.

--- /dev/null
+++ b/review/standin2/engine.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// heartbeat is the time between two writes of an engine to the store.
+const heartbeat = 1200 * time.Millisecond
+
+// Engine is a stand-in of an engine. It serves one request at a time on a connection.
+type Engine struct {
+	id, service, zone, stage string
+	slots                    int
+	store                    *Store
+	log                      *Log
+	listener                 net.Listener
+	born                     int64
+	// answer answers a request that the engine runs. It reports whether the connection is kept.
+	answer func(conn net.Conn, r *http.Request, body []byte) bool
+
+	mu       sync.Mutex
+	state    string
+	sequence int
+	stopped  chan struct{}
+	conns    map[net.Conn]bool
+}
+
+// NewEngine starts an engine, which registers itself.
+func NewEngine(id, service, zone string, store *Store, log *Log, answer func(net.Conn, *http.Request, []byte) bool) (*Engine, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{
+		id: id, service: service, zone: zone, slots: 6, store: store, log: log, listener: listener, born: time.Now().UnixMilli(),
+		answer: answer, state: "ready", stopped: make(chan struct{}), conns: make(map[net.Conn]bool),
+	}
+	go e.accept()
+	go e.beat()
+	return e, nil
+}
+
+// Drain reports that the engine is draining.
+func (e *Engine) Drain() {
+	e.mu.Lock()
+	e.state = "draining"
+	e.mu.Unlock()
+	e.register()
+}
+
+func (e *Engine) register() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	entry := map[string]any{
+		"service": e.service, "address": e.listener.Addr().String(), "zone": e.zone, "version": "1", "slots": e.slots,
+		"state": e.state, "cold_remaining_ms": 0, "sequence": e.sequence, "born": e.born,
+	}
+	if e.stage != "" {
+		entry["stage"] = e.stage
+	}
+	e.store.PutJSON("keyed.servers", e.id, entry)
+}
+
+func (e *Engine) beat() {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		e.register()
+		select {
+		case <-ticker.C:
+		case <-e.stopped:
+			return
+		}
+	}
+}
+
+// Stop ends the engine.
+func (e *Engine) Stop() {
+	close(e.stopped)
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn := range e.conns {
+		_ = conn.Close()
+	}
+}
+
+func (e *Engine) accept() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns[conn] = true
+		e.mu.Unlock()
+		go e.serve(conn)
+	}
+}
+
+func (e *Engine) serve(conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+		e.mu.Lock()
+		delete(e.conns, conn)
+		e.mu.Unlock()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("Request-Id")
+		switch {
+		case request.URL.Path == "/health":
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", e.id)
+			continue
+		case request.Header.Get("Expect-Instance") != "" && request.Header.Get("Expect-Instance") != e.id:
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+			continue
+		}
+		e.log.Add("run", id, "engine", e.id, "service", e.service)
+		if !e.answer(conn, request, body) {
+			return
+		}
+	}
+}
+
+// plain returns an answer of an engine with a body.
+func plain(status string, id, signature, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, signature, len(body), body)
+}
--- /dev/null
+++ b/review/standin2/site.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// Log is the record of what was sent, answered and run. It is safe for concurrent use.
+type Log struct {
+	mu    sync.Mutex
+	file  *os.File
+	began time.Time
+}
+
+// NewLog creates the record.
+func NewLog(path string) (*Log, error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &Log{file: file, began: time.Now()}, nil
+}
+
+// Add writes a line: seconds since the start, what happened, and pairs of names and values.
+func (l *Log) Add(what string, fields ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, _ = fmt.Fprintf(l.file, "%8.3f %s", time.Since(l.began).Seconds(), what)
+	for _, field := range fields {
+		_, _ = fmt.Fprintf(l.file, " %v", field)
+	}
+	_, _ = fmt.Fprintln(l.file)
+}
+
+// Instance is a process of the system.
+type Instance struct {
+	name, zone                         string
+	caller, ready, entry, peer, metric string
+	settings                           string
+	program, root                      string
+	output                             string
+	cmd                                *exec.Cmd
+	done                               chan struct{}
+}
+
+// freeAddress returns a free loopback address.
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// SettingsOf returns settings as deploy/settings.ini lays them out, with the bounds of the small deployments.
+func (i *Instance) text(store, extra string) string {
+	return fmt.Sprintf(`[instance]
+name = %s
+region = amman
+zone = %s
+[listen]
+caller = %s
+ready = %s
+entry = %s
+peer = %s
+metric = %s
+[store]
+address = %s
+[key]
+peer = instances-of-%s
+[drain]
+time = 2500ms
+[policy]
+apply = 2500ms
+[stop]
+grace = 8s
+[budget]
+ratio = 0.2
+extra = 54
+window = 10s
+%s[memory]
+limit = 284
+[zone]
+amman-a = amman
+irbid-a = irbid
+aqaba-a = aqaba
+`, i.name, i.zone, i.caller, i.ready, i.entry, i.peer, i.metric, store, store, extra)
+}
+
+// NewInstance writes the settings of an instance into a folder. It does not start the process.
+func NewInstance(root, folder, name, zone, store, extra string) (*Instance, error) {
+	i := &Instance{
+		name: name, zone: zone, root: root, program: filepath.Join(root, "target", "jayfieldd"),
+		caller: freeAddress(), ready: freeAddress(), entry: freeAddress(), peer: freeAddress(), metric: freeAddress(),
+		settings: filepath.Join(folder, name+".conf"), output: filepath.Join(folder, name+".log"),
+	}
+	return i, os.WriteFile(i.settings, []byte(i.text(store, extra)), 0o600)
+}
+
+// Start starts the process with the command of the deploy file.
+func (i *Instance) Start() error {
+	output, err := os.OpenFile(i.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = output.Close() }()
+	i.cmd = exec.Command(i.program, "edge")
+	i.cmd.Dir, i.cmd.Stdout, i.cmd.Stderr = i.root, output, output
+	i.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "JAYFIELD_SETTINGS=" + i.settings}
+	if err := i.cmd.Start(); err != nil {
+		return err
+	}
+	i.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(i.cmd, i.done)
+	return nil
+}
+
+// Kill ends the process at once.
+func (i *Instance) Kill() {
+	if i.cmd != nil && i.cmd.Process != nil {
+		_ = i.cmd.Process.Kill()
+		<-i.done
+	}
+}
+
+// AwaitReady waits until the instance says that it is ready.
+func (i *Instance) AwaitReady(limit time.Duration) error {
+	client := &http.Client{Timeout: time.Second}
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		response, err := client.Get("http://" + i.ready + "/v1/ready")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not ready after %s", i.name, limit)
+}
