--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -21,6 +21,8 @@
 	log                      *Log
 	listener                 net.Listener
 	born                     int64
+	// quiet is set if runs are not recorded.
+	quiet bool
 	// answer answers a request that the engine runs. It reports whether the connection is kept.
 	answer func(conn net.Conn, r *http.Request, body []byte) bool
 
@@ -54,9 +56,20 @@
 	e.register()
 }
 
+// Remove removes the engine's entry without a report that it is draining. The engine serves on.
+func (e *Engine) Remove() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = "removed"
+	e.store.Put("keyed.servers", e.id, nil)
+}
+
 func (e *Engine) register() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.state == "removed" {
+		return
+	}
 	e.sequence++
 	entry := map[string]any{
 		"service": e.service, "address": e.listener.Addr().String(), "zone": e.zone, "version": "1", "slots": e.slots,
@@ -83,10 +96,14 @@
 
 // Stop ends the engine.
 func (e *Engine) Stop() {
-	close(e.stopped)
 	_ = e.listener.Close()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	select {
+	case <-e.stopped:
+	default:
+		close(e.stopped)
+	}
 	for conn := range e.conns {
 		_ = conn.Close()
 	}
@@ -131,7 +148,9 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 			continue
 		}
-		e.log.Add("run", id, "engine", e.id, "service", e.service)
+		if !e.quiet {
+			e.log.Add("run", id, "engine", e.id, "service", e.service)
+		}
 		if !e.answer(conn, request, body) {
 			return
 		}
--- a/review/standin2/limit.go
+++ b/review/standin2/limit.go
@@ -18,10 +18,13 @@
 	longHeader = 14000
 )
 
-// quickAnswer answers after 10 ms of work.
-func quickAnswer(id string) func(net.Conn, *http.Request, []byte) bool {
+// work is how long a request takes at an engine of the plain service.
+const work = 60 * time.Millisecond
+
+// simpleAnswer answers when the work is done.
+func simpleAnswer(id string) func(net.Conn, *http.Request, []byte) bool {
 	return func(conn net.Conn, r *http.Request, _ []byte) bool {
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(work)
 		_, err := conn.Write([]byte(plain("200 OK", r.Header.Get("Request-Id"), "sig-"+id, "done")))
 		return err == nil
 	}
@@ -38,7 +41,7 @@
 	s.store.PutJSON("keyed.op", "config", configuration(3, first, order))
 	for n, zone := range []string{"amman-a", "irbid-a", "aqaba-a"} {
 		id := fmt.Sprintf("i-%d", n+1)
-		if _, err := s.engine(id, "order-desk", zone, quickAnswer(id)); err != nil {
+		if _, err := s.engine(id, "order-desk", zone, simpleAnswer(id)); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,6 +25,8 @@
 	store        *Store
 	instances    []*Instance
 	engines      []*Engine
+	// proxies stand between the instances and the store, one for each instance, if there are any.
+	proxies []*Proxy
 }
 
 const (
@@ -40,7 +42,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 SCENARIO ROOT RECORD")
 		return statusNotRun
 	}
-	play, ok := map[string]scenario{"limit": playLimit}[args[0]]
+	play, ok := map[string]scenario{"limit": playLimit, "removal": playRemoval}[args[0]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown scenario", args[0])
 		return statusNotRun
@@ -101,10 +103,26 @@
 	os.Exit(statusNotRun)
 }
 
+// startBehindProxies starts instances, one for each zone, with a proxy between each of them and the store.
+func (s *Site) startBehindProxies(zones ...string) error {
+	for range zones {
+		p, err := NewProxy(s.store.address)
+		if err != nil {
+			return err
+		}
+		s.proxies = append(s.proxies, p)
+	}
+	return s.start(zones...)
+}
+
 // start starts instances, one for each zone.
 func (s *Site) start(zones ...string) error {
 	for n, zone := range zones {
-		i, err := NewInstance(s.root, s.folder, fmt.Sprintf("front-%s-%d", zone, n+1), zone, s.store.address, "")
+		address := s.store.address
+		if s.proxies != nil {
+			address = s.proxies[n].Address()
+		}
+		i, err := NewInstance(s.root, s.folder, fmt.Sprintf("front-%s-%d", zone, n+1), zone, address, s.store.address, "")
 		if err != nil {
 			return err
 		}
@@ -137,6 +155,9 @@
 	for _, e := range s.engines {
 		e.Stop()
 	}
+	for _, p := range s.proxies {
+		p.Close()
+	}
 	_ = s.store.server.Close()
 }
 
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -31,6 +31,9 @@
 func (l *Log) Add(what string, fields ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.file == nil {
+		return
+	}
 	_, _ = fmt.Fprintf(l.file, "%8.3f %s", time.Since(l.began).Seconds(), what)
 	for _, field := range fields {
 		_, _ = fmt.Fprintf(l.file, " %v", field)
@@ -59,8 +62,8 @@
 	return listener.Addr().String()
 }
 
-// SettingsOf returns settings as deploy/settings.ini lays them out, with the bounds of the small deployments.
-func (i *Instance) text(store, extra string) string {
+// text returns settings as deploy/settings.ini lays them out, with the bounds of the small deployments.
+func (i *Instance) text(store, site, extra string) string {
 	return fmt.Sprintf(`[instance]
 name = %s
 region = amman
@@ -91,17 +94,18 @@
 amman-a = amman
 irbid-a = irbid
 aqaba-a = aqaba
-`, i.name, i.zone, i.caller, i.ready, i.entry, i.peer, i.metric, store, store, extra)
+`, i.name, i.zone, i.caller, i.ready, i.entry, i.peer, i.metric, store, site, extra)
 }
 
-// NewInstance writes the settings of an instance into a folder. It does not start the process.
-func NewInstance(root, folder, name, zone, store, extra string) (*Instance, error) {
+// NewInstance writes the settings of an instance into a folder. It does not start the process. Store is the address at
+// which the instance reaches the store, site that by which all instances of the site name it.
+func NewInstance(root, folder, name, zone, store, site, extra string) (*Instance, error) {
 	i := &Instance{
 		name: name, zone: zone, root: root, program: filepath.Join(root, "target", "jayfieldd"),
 		caller: freeAddress(), ready: freeAddress(), entry: freeAddress(), peer: freeAddress(), metric: freeAddress(),
 		settings: filepath.Join(folder, name+".conf"), output: filepath.Join(folder, name+".log"),
 	}
-	return i, os.WriteFile(i.settings, []byte(i.text(store, extra)), 0o600)
+	return i, os.WriteFile(i.settings, []byte(i.text(store, site, extra)), 0o600)
 }
 
 // Start starts the process with the command of the deploy file.
