Show late heartbeats that undo a report of draining

Cause: a mirror supplies only the newest record of each key, so that a heartbeat which the store executes late hides a report of draining from the instances that read from another one.

--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -21,6 +21,10 @@
 	log                      *Log
 	listener                 net.Listener
 	born                     int64
+	// late returns by how much the write of a heartbeat is executed late; nil if all are executed at once.
+	late func() time.Duration
+	// drained is closed when the engine reports draining.
+	drained chan struct{}
 	// quiet is set if runs are not recorded.
 	quiet bool
 	// answer answers a request that the engine runs. It reports whether the connection is kept.
@@ -34,14 +38,14 @@
 }
 
 // NewEngine starts an engine, which registers itself.
-func NewEngine(id, service, zone string, store *Store, log *Log, answer func(net.Conn, *http.Request, []byte) bool) (*Engine, error) {
+func NewEngine(id, service, zone string, store *Store, log *Log, answer func(net.Conn, *http.Request, []byte) bool, late func() time.Duration) (*Engine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	e := &Engine{
 		id: id, service: service, zone: zone, slots: 6, store: store, log: log, listener: listener, born: time.Now().UnixMilli(),
-		answer: answer, state: "ready", stopped: make(chan struct{}), conns: make(map[net.Conn]bool),
+		answer: answer, late: late, state: "ready", stopped: make(chan struct{}), drained: make(chan struct{}), conns: make(map[net.Conn]bool),
 	}
 	go e.accept()
 	go e.beat()
@@ -54,6 +58,7 @@
 	e.state = "draining"
 	e.mu.Unlock()
 	e.register()
+	close(e.drained)
 }
 
 // Remove removes the engine's entry without a report that it is draining. The engine serves on.
@@ -78,16 +83,31 @@
 	if e.stage != "" {
 		entry["stage"] = e.stage
 	}
+	if e.late != nil {
+		if late := e.late(); late > 0 {
+			e.log.Add("write of a heartbeat without an answer", e.id, "sequence", e.sequence, "state", e.state, "executed after", late)
+			time.AfterFunc(late, func() {
+				e.store.PutJSON("keyed.servers", e.id, entry)
+				e.log.Add("late write executed", e.id, "sequence", entry["sequence"], "state", entry["state"])
+			})
+			return
+		}
+	}
 	e.store.PutJSON("keyed.servers", e.id, entry)
 }
 
 func (e *Engine) beat() {
-	ticker := time.NewTicker(heartbeat)
+	ticker, drained := time.NewTicker(heartbeat), e.drained
 	defer ticker.Stop()
 	for {
 		e.register()
 		select {
 		case <-ticker.C:
+		case <-drained:
+			// The next write follows the report by a whole interval.
+			drained = nil
+			ticker.Reset(heartbeat)
+			<-ticker.C
 		case <-e.stopped:
 			return
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -42,7 +42,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 SCENARIO ROOT RECORD")
 		return statusNotRun
 	}
-	play, ok := map[string]scenario{"limit": playLimit, "removal": playRemoval}[args[0]]
+	play, ok := map[string]scenario{"limit": playLimit, "removal": playRemoval, "heartbeats": playHeartbeats}[args[0]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown scenario", args[0])
 		return statusNotRun
@@ -141,7 +141,12 @@
 
 // engine starts an engine.
 func (s *Site) engine(id, service, zone string, answer func(net.Conn, *http.Request, []byte) bool) (*Engine, error) {
-	e, err := NewEngine(id, service, zone, s.store, s.log, answer)
+	return s.engineWith(id, service, zone, answer, nil)
+}
+
+// engineWith starts an engine of which writes to the store are executed late.
+func (s *Site) engineWith(id, service, zone string, answer func(net.Conn, *http.Request, []byte) bool, late func() time.Duration) (*Engine, error) {
+	e, err := NewEngine(id, service, zone, s.store, s.log, answer, late)
 	if err == nil {
 		s.engines = append(s.engines, e)
 	}
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -48,18 +49,35 @@
 	settings                           string
 	program, root                      string
 	output                             string
-	cmd                                *exec.Cmd
-	done                               chan struct{}
+	// write writes the settings with new addresses.
+	write func() error
+	cmd   *exec.Cmd
+	done  chan struct{}
 }
 
+// The ports of instances lie below those that the system gives to outgoing connections, which could take one between its
+// choice and the start of its instance.
+const firstPort, lastPort = 12000, 32000
+
+// givenPorts are the ports that have been chosen.
+var givenPorts = make(map[int]bool)
+
 // freeAddress returns a free loopback address.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if givenPorts[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		givenPorts[port] = true
+		return address
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 // text returns settings as deploy/settings.ini lays them out, with the bounds of the small deployments.
@@ -102,10 +120,13 @@
 func NewInstance(root, folder, name, zone, store, site, extra string) (*Instance, error) {
 	i := &Instance{
 		name: name, zone: zone, root: root, program: filepath.Join(root, "target", "jayfieldd"),
-		caller: freeAddress(), ready: freeAddress(), entry: freeAddress(), peer: freeAddress(), metric: freeAddress(),
 		settings: filepath.Join(folder, name+".conf"), output: filepath.Join(folder, name+".log"),
 	}
-	return i, os.WriteFile(i.settings, []byte(i.text(store, site, extra)), 0o600)
+	i.write = func() error {
+		i.caller, i.ready, i.entry, i.peer, i.metric = freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()
+		return os.WriteFile(i.settings, []byte(i.text(store, site, extra)), 0o600)
+	}
+	return i, i.write()
 }
 
 // Start starts the process with the command of the deploy file.
@@ -141,6 +162,17 @@
 func (i *Instance) AwaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-i.done:
+			// Another program has taken one of its ports since it was chosen.
+			if err := i.write(); err != nil {
+				return err
+			}
+			if err := i.Start(); err != nil {
+				return err
+			}
+		default:
+		}
 		response, err := client.Get("http://" + i.ready + "/v1/ready")
 		if err != nil {
 			continue
