Show a removed engine that a late heartbeat brings back

Cause: jayfleet forgets a removed entry with its start and sequence, and takes a heartbeat that the store executes late for a new engine.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -42,7 +42,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 SCENARIO ROOT RECORD")
 		return statusNotRun
 	}
-	play, ok := map[string]scenario{"limit": playLimit, "removal": playRemoval, "heartbeats": playHeartbeats}[args[0]]
+	play, ok := map[string]scenario{"limit": playLimit, "removal": playRemoval, "heartbeats": playHeartbeats, "revival": playRevival}[args[0]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown scenario", args[0])
 		return statusNotRun
