Reject responses whose header has a name that is not a token

What callers saw: an engine's response with a blank in or after a name was forwarded as its answer, without that line. Where the line was to delimit the body ("Content-Length : 6", "Transfer-Encoding : chunked"), the body was read to the end of the connection instead, chunk sizes included; on an open connection callers got 504 after 5 s. A line that began with a blank became part of the value before it ("X-Own: yes X-Bad: 1"). With "Not-Executed", such a response was passed on as a 503 that says "not run".

Cause: net/http accepts names with blanks and folded lines, for old servers.

Change: jayresponse.Check also requires names to be tokens (RFC 9110, section 5.6.2), and jayresponse.Scanner finds folded lines, which are no longer visible in the parsed header. RFC 9112, section 5.2, lets a proxy answer those with 502. What net/http rejects by itself now has the same kind, malformed, and is counted as such, unless the connection had failed.

--- a/jay/jaylink/conn.go
+++ b/jay/jaylink/conn.go
@@ -12,6 +12,7 @@
 
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaylimit"
+	"jayfield.example/jay/jayresponse"
 )
 
 const (
@@ -57,6 +58,10 @@
 	memory *jaylimit.Memory
 	// share is the memory of the response header that is being read, nil while none is.
 	share *jaylimit.Share
+	// scanner scans what is read while there is a limit.
+	scanner jayresponse.Scanner
+	// failed is set once a read has failed.
+	failed bool
 }
 
 // beginHeader limits what is read up to the end of a response header.
@@ -73,6 +78,12 @@
 
 // Read reads from the source.
 func (r *limitedReader) Read(p []byte) (int, error) {
+	n, err := r.read(p)
+	r.failed = r.failed || err != nil
+	return n, err
+}
+
+func (r *limitedReader) read(p []byte) (int, error) {
 	if r.left == noLimit {
 		return r.source.Read(p) //nolint:wrapcheck // Readers depend on io.EOF.
 	}
@@ -81,6 +92,7 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	r.scanner.Scan(p[:n])
 	if r.share != nil && !r.share.Grow(int64(n)*headerWeight) {
 		return 0, jayerror.New("receive", KindSpoilt, "response headers take too much memory together")
 	}
--- a/jay/jaylink/exchange.go
+++ b/jay/jaylink/exchange.go
@@ -136,12 +136,9 @@
 // receive reads headers until one belongs to the request.
 func (c *conn) receive(request *Request) (*http.Response, error) {
 	for range maxForeign + 1 {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		response, err := c.readResponse(request.Method)
 		if err != nil {
-			return nil, jayerror.Wrap("receive", KindBroken, err)
-		}
-		if err := jayresponse.Check(response); err != nil {
-			return nil, jayerror.Wrap("receive", KindSpoilt, err)
+			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
@@ -161,6 +158,29 @@
 	return nil, jayerror.New("receive", KindSpoilt, "too many answers to other requests")
 }
 
+// readResponse reads the header of the next response to a request of a method.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.source.scanner = jayresponse.Scanner{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // It returns no error for what is buffered.
+	c.source.scanner.Scan(buffered)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	switch {
+	case err == nil:
+		err = jayresponse.Check(response)
+	case c.source.failed:
+		return nil, jayerror.Wrap("receive", KindBroken, err)
+	default:
+		err = jayerror.Wrap("parse", jayresponse.KindMalformed, err)
+	}
+	if err == nil {
+		err = c.source.scanner.Err()
+	}
+	if err != nil {
+		return nil, jayerror.Wrap("receive", KindSpoilt, err)
+	}
+	return response, nil
+}
+
 // head returns the request line and the header.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
--- a/jay/jayresponse/check.go
+++ b/jay/jayresponse/check.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"jayfield.example/jay/jayerror"
 )
@@ -10,8 +11,8 @@
 // maxStatus is the highest status of HTTP (RFC 9110, section 15).
 const maxStatus = 599
 
-// Check returns an error of KindMalformed for a response, final or interim, that net/http has parsed
-// although its status line is invalid.
+// Check returns an error of KindMalformed for a response, final or interim, whose status line or header net/http
+// has parsed although it is invalid. Such a header may have been meant to delimit the body.
 func Check(response *http.Response) error {
 	switch status := response.StatusCode; {
 	case response.ProtoMajor != 1:
@@ -21,5 +22,22 @@
 	case status == http.StatusSwitchingProtocols:
 		return jayerror.New("check", KindMalformed, "response switches to a protocol that was not requested")
 	}
+	for name := range response.Header {
+		if !isToken(name) {
+			return jayerror.Newf("check", KindMalformed, "name %q in the header is not a token", name)
+		}
+	}
 	return nil
 }
+
+// isToken reports whether a text is a token (RFC 9110, section 5.6.2).
+func isToken(text string) bool {
+	for i := range len(text) {
+		c := text[i]
+		alphanumeric := '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !alphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
