Reject responses whose connection failed during a write

What callers saw: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. Callers got that part as a complete 200; on a stream, a response that ended in order.

Cause: the kernel reports a reset (or a time-out) of a connection to one system call only. Where the write of the upload gets it, the next read returns the end of the connection, which is the end of a body without a length. Nothing compared the two. Where the read gets it, the response failed already.

Change: jayresponse.Conn remembers the error of a failed write. A read that finds the end of the connection first ends a write in progress, whose error would otherwise be known too late, and returns KindTruncated if a write had got the failure. A server that has closed its side in order before the reset gives EPIPE instead, so that its response stays complete. TestConnReportsFailureOfWrite plays each order. Plain requests get 502 without Retry-After and may have run; their connection serves the next request. A stream that has begun is cut off.

--- a/jay/jaylink/conn.go
+++ b/jay/jaylink/conn.go
@@ -33,7 +33,8 @@
 
 // conn is one connection to an upstream.
 type conn struct {
-	net.Conn
+	*jayresponse.Conn
+
 	address string
 	source  *limitedReader
 	reader  *bufio.Reader
@@ -43,8 +44,9 @@
 }
 
 func newConn(raw net.Conn, address string, memory *jaylimit.Memory) *conn {
-	source := &limitedReader{source: raw, left: noLimit, memory: memory}
-	return &conn{Conn: raw, address: address, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
+	checked := jayresponse.NewConn(raw)
+	source := &limitedReader{source: checked, left: noLimit, memory: memory}
+	return &conn{Conn: checked, address: address, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
 }
 
 // noLimit makes a limitedReader read without a limit.
@@ -105,7 +107,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	source, ok := c.Conn.(syscall.Conn)
+	source, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/jay/jaylink/exchange.go
+++ b/jay/jaylink/exchange.go
@@ -126,9 +126,7 @@
 	}
 	go func() {
 		// A long body is not copied, since an upstream that reads slowly would hold the copy in memory.
-		parts := net.Buffers{head, request.Body}
-		_, err := parts.WriteTo(c.Conn)
-		written <- err
+		written <- c.WriteBuffers(net.Buffers{head, request.Body})
 	}()
 	return written
 }
--- a/jay/jayresponse/check.go
+++ b/jay/jayresponse/check.go
@@ -1,4 +1,4 @@
-// Package jayresponse detects malformed HTTP responses that net/http accepts.
+// Package jayresponse detects HTTP responses that are malformed or truncated and that net/http accepts.
 package jayresponse
 
 import (
--- a/jay/jayresponse/error.go
+++ b/jay/jayresponse/error.go
@@ -5,8 +5,13 @@
 // Kind classifies what is wrong with a response. None of the kinds says whether the request was run.
 type Kind string
 
-// KindMalformed means that the status line or the header breaks the syntax of HTTP.
-const KindMalformed Kind = "malformed"
+// Kinds of invalid responses.
+const (
+	// KindMalformed means that the status line or the header breaks the syntax of HTTP.
+	KindMalformed Kind = "malformed"
+	// KindTruncated means that the connection failed before the end of the response.
+	KindTruncated Kind = "truncated"
+)
 
 // Error is the error type of the package.
 type Error = jayerror.Error[Kind]
