Accept any number of interim responses

What callers saw: a sound answer after three interim responses was lost; the request failed with 502 "too many answers to other requests".

Cause: jaylink counted interim responses as late answers to earlier requests, of which it skips two.

Evidence: platform TestSoundResponseIsForwarded, five responses of status 102 before a 200: 502 before the change. Its other cases keep what the checks of status, names and end must not reject, for short and long requests: bodies to the end of the connection, also where a reset follows that end, lengths and chunks that come before the request was read, empty reason phrases, all characters of a token. They passed before and after.

Change: interim responses are skipped without being counted. The limit of 64 KB on what is read up to the end of a header bounds them, as TestEndlessResponseIsCutOff shows.

--- a/jay/jaylink/exchange.go
+++ b/jay/jaylink/exchange.go
@@ -134,13 +134,10 @@
 // receive reads headers until one belongs to the request.
 func (c *conn) receive(request *Request) (*http.Response, error) {
 	for range maxForeign + 1 {
-		response, err := c.readResponse(request.Method)
+		response, err := c.readFinal(request.Method)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if request.Matches == nil || request.Matches(response.StatusCode, response.Header) {
 			return response, nil
 		}
@@ -156,6 +153,17 @@
 	return nil, jayerror.New("receive", KindSpoilt, "too many answers to other requests")
 }
 
+// readFinal reads the header of the next response that is not an interim one. The limit of a header bounds the
+// interim ones before it.
+func (c *conn) readFinal(method string) (*http.Response, error) {
+	for {
+		response, err := c.readResponse(method)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
 // readResponse reads the header of the next response to a request of a method.
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	c.source.scanner = jayresponse.Scanner{}
