Reject invalid responses of upstreams on the own interface

What callers saw: a service's response with status 000 ended the handler with a panic; one with a blank in a name, or one that was reset during the upload, was passed on as complete. Where such a response, or one that was cut off, said "leaving", the call counted as not run and was sent to another upstream. Orders and prefills were done by a 200 that was malformed or cut off.

Cause: jayengine uses the transport of net/http, as the clients of the platform did, and did not read the bodies of refusals, orders and prefills to their end.

Change: jayengine uses jayresponse.Transport and reads bodies to their end. Its errors are KindBroken, which does not say that a call was not run; the frontend answers 502. The instance logs "invalid response" and counts invalid_responses.

--- a/jay/jaycall/service_test.go
+++ b/jay/jaycall/service_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,7 +35,7 @@
 	dispatcher := jaydispatch.New(jaydispatch.Options{Region: "r", Policy: jayroute.PolicyPredict, Limit: 10, Seed: 1})
 	t.Cleanup(dispatcher.Stop)
 	dispatcher.Configure(state)
-	engines := jayengine.NewClient(nil)
+	engines := jayengine.NewClient(nil, nil)
 	t.Cleanup(engines.Close)
 	log := slog.New(slog.DiscardHandler)
 	return NewFrontend(Options{Region: "r", Dispatcher: dispatcher, Engines: engines, Metrics: jaymetric.NewSet(log), Log: log})
@@ -103,3 +105,40 @@
 		t.Errorf("a first byte is expected after %s", again.ExpectedFirstToken)
 	}
 }
+
+// Guards against a malformed response of a service that reaches the caller: a status that no server may send ended the
+// handler with a panic, and "leaving" in such a response stood for "not run".
+func TestMalformedResponseOfServiceIsAnError(t *testing.T) {
+	tests := map[string]string{
+		"status 000":             "HTTP/1.1 000 Unknown\r\nContent-Length: 6\r\n\r\nsecret",
+		"blank in a name":        "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 6\r\n\r\nsecret",
+		"leaving, blank in name": "HTTP/1.1 503 Service Unavailable\r\nX Bad: 1\r\n" + jayengine.HeaderLeaving + ": 1\r\nContent-Length: 0\r\n\r\n",
+		"leaving, cut off":       "HTTP/1.1 503 Service Unavailable\r\n" + jayengine.HeaderLeaving + ": 1\r\nContent-Length: 9\r\n\r\n{}",
+	}
+	for name, response := range tests {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			frontend := newServiceFrontend(t, func(w http.ResponseWriter, _ *http.Request) {
+				requests.Add(1)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, response)
+			})
+			w := httptest.NewRecorder()
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/services/s/x", nil)
+			caller := jayconfig.NamedCaller{Name: "shop-12", Caller: &jayconfig.Caller{Weight: 1}}
+			_, _, err := frontend.callService(r.Context(), &request{Request: r, caller: caller, start: time.Now()}, "s", time.Minute)
+			if err == nil || provablyNotRun(err) {
+				t.Fatalf("error = %v, want one that does not say that the call was not run", err)
+			}
+			failureOf(err).write(w)
+			if w.Code != http.StatusBadGateway || w.Header().Get(HeaderRun) == "not-run" || requests.Load() != 1 {
+				t.Errorf("status %d, run %q after %d requests; want 502 after one", w.Code, w.Header().Get(HeaderRun), requests.Load())
+			}
+		})
+	}
+}
--- a/jay/jayengine/client.go
+++ b/jay/jayengine/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayresponse"
 )
 
 const (
@@ -40,20 +41,20 @@
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // NewClient returns a client with its own connections, made by dial or, where
-// it is nil, in the ordinary way.
-func NewClient(dial Dial) *Client {
+// it is nil, in the ordinary way. The observer of invalid responses may be nil.
+func NewClient(dial Dial, observe jayresponse.Observer) *Client {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialBound}).DialContext
 	}
 	kept := newTransport(dial)
 	fresh := newTransport(dial)
 	fresh.DisableKeepAlives = true
-	return &Client{http: newHTTP(kept), fresh: newHTTP(fresh)}
+	return &Client{http: newHTTP(kept, observe), fresh: newHTTP(fresh, observe)}
 }
 
-func newHTTP(transport *http.Transport) *http.Client {
+func newHTTP(transport *http.Transport, observe jayresponse.Observer) *http.Client {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	return &http.Client{Transport: jayresponse.NewTransport(transport, observe), CheckRedirect: noRedirect}
 }
 
 func newTransport(dial Dial) *http.Transport {
@@ -142,7 +143,7 @@
 	if response.StatusCode != http.StatusOK {
 		return refusal("prefill", response)
 	}
-	return response.Body.Close()
+	return discard("prefill", response)
 }
 
 // Send gives an engine an order. KindUnreachable and KindFence say that the
@@ -166,7 +167,7 @@
 	if response.StatusCode != http.StatusOK {
 		return refusal("order", response)
 	}
-	return response.Body.Close()
+	return discard("order", response)
 }
 
 func (c *Client) get(ctx context.Context, url string, out any) error {
@@ -181,11 +182,14 @@
 		return jayerror.Wrap("get", failure(err), err)
 	}
 	defer response.Body.Close() //nolint:errcheck // The body has been read.
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
+	if err != nil {
+		return jayerror.Wrap("get", KindBroken, err)
+	}
 	if response.StatusCode != http.StatusOK {
 		return jayerror.Newf("get", KindRefused, "status %d", response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(out)
-	if err != nil {
+	if err := json.Unmarshal(data, out); err != nil {
 		return jayerror.Wrap("get", KindBroken, err)
 	}
 	return nil
@@ -206,10 +210,22 @@
 	return KindBroken
 }
 
-// refusal reads the answer of an upstream that did not accept a request.
+// discard reads the rest of an answer, which must be whole to count.
+func discard(op string, response *http.Response) error {
+	defer response.Body.Close() //nolint:errcheck // The body has been read.
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxControlBytes)); err != nil {
+		return jayerror.Wrap(op, KindBroken, err)
+	}
+	return nil
+}
+
+// refusal reads the answer of an upstream that did not accept a request. One that is cut off says nothing.
 func refusal(op string, response *http.Response) error {
 	defer response.Body.Close() //nolint:errcheck // The answer is an error already.
-	text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+	text, err := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+	if err != nil {
+		return jayerror.Wrap(op, KindBroken, err)
+	}
 	kind := KindRefused
 	switch {
 	case response.Header.Get(HeaderLeaving) != "":
--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -21,6 +21,7 @@
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jayonce"
 	"jayfield.example/jay/jaypeer"
+	"jayfield.example/jay/jayresponse"
 	"jayfield.example/jay/jayroute"
 	"jayfield.example/jay/jayserver"
 	"jayfield.example/jay/jaysetting"
@@ -146,13 +147,21 @@
 	return i.follower.Position()
 }
 
+// observeInvalid returns an observer that logs and counts the invalid responses of a source.
+func (i *Instance) observeInvalid(source string) jayresponse.Observer {
+	return func(err *jayresponse.Error) {
+		i.metrics.Add(jaymetric.InvalidResponses, 1)
+		i.log.Warn("invalid response", "source", source, "kind", err.Kind, "error", err)
+	}
+}
+
 // build makes the parts; none of them listens yet.
 func (i *Instance) build() {
 	s := i.settings
 	i.writer = jaylog.NewWriter(i.incarnation)
 	i.platform = jaylog.NewClient(s.Platform)
 	i.list = jaylist.NewClient(s.Platform)
-	i.engines = jayengine.NewClient(i.dial)
+	i.engines = jayengine.NewClient(i.dial, i.observeInvalid("upstream"))
 	i.rates = jaylimit.New()
 	i.dispatcher = jaydispatch.New(jaydispatch.Options{
 		Region: s.Region, Policy: i.policy, Limit: s.Queue, Seed: uint64(time.Now().UnixNano()),
--- a/jay/jaymetric/set.go
+++ b/jay/jaymetric/set.go
@@ -39,6 +39,8 @@
 	LeaseHeld       Name = "leases_taken"
 	LeaseLost       Name = "leases_lost"
 	InvariantBroken Name = "invariants_broken"
+	// InvalidResponses counts responses that were malformed or truncated.
+	InvalidResponses Name = "invalid_responses"
 )
 
 // Set is the counters of one instance. It is safe for concurrent use.
