Reject invalid responses of the log and of the list of instances

What callers saw: nothing at once. An append that was answered with a malformed or cut-off 409 or 412 counted as refused or as a conflict, which says that the record has no effect, and an entry counted as written to the list by an answer that was malformed or reset.

Evidence: the cases "log" and "list" of TestInvalidResponseIsNoAnswer and TestResetResponseIsNoAnswer.

Change: both clients use jayresponse.Transport; the log's reads each body to its end. Such answers are unavailable, after which an append repeats its record under the same ID. The instance logs and counts them, as those of upstreams.

--- a/jay/jayinstance/instance.go
+++ b/jay/jayinstance/instance.go
@@ -159,8 +159,8 @@
 func (i *Instance) build() {
 	s := i.settings
 	i.writer = jaylog.NewWriter(i.incarnation)
-	i.platform = jaylog.NewClient(s.Platform)
-	i.list = jaylist.NewClient(s.Platform)
+	i.platform = jaylog.NewClient(s.Platform, jaylog.WithObserver(i.observeInvalid("log")))
+	i.list = jaylist.NewClient(s.Platform, i.observeInvalid("list"))
 	i.engines = jayengine.NewClient(i.dial, i.observeInvalid("upstream"))
 	i.rates = jaylimit.New()
 	i.dispatcher = jaydispatch.New(jaydispatch.Options{
--- a/jay/jaylist/client.go
+++ b/jay/jaylist/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayresponse"
 )
 
 // Kind classifies a failure of the list.
@@ -71,9 +72,10 @@
 	http    *http.Client
 }
 
-// NewClient returns a client of the list at a base address.
-func NewClient(address string) *Client {
-	return &Client{address: address, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}, Timeout: requestTimeout}}
+// NewClient returns a client of the list at a base address. The observer of invalid responses may be nil.
+func NewClient(address string, observe jayresponse.Observer) *Client {
+	transport := jayresponse.NewTransport(&http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}, observe)
+	return &Client{address: address, http: &http.Client{Transport: transport, Timeout: requestTimeout}}
 }
 
 // Close releases idle connections.
--- a/jay/jaylog/client.go
+++ b/jay/jaylog/client.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayresponse"
 )
 
 const (
@@ -34,6 +35,7 @@
 	http    *http.Client
 	budget  *rate.Limiter
 	timeout time.Duration
+	observe jayresponse.Observer
 }
 
 // Option changes a client at its construction.
@@ -43,13 +45,14 @@
 func NewClient(address string, options ...Option) *Client {
 	c := &Client{
 		address: address,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxHeaderBytes}},
 		budget:  rate.NewLimiter(DefaultBudgetPerSecond, 4*DefaultBudgetPerSecond),
 		timeout: DefaultAppendTimeout,
 	}
 	for _, option := range options {
 		option(c)
 	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: maxHeaderBytes}
+	c.http = &http.Client{Transport: jayresponse.NewTransport(transport, c.observe)}
 	return c
 }
 
@@ -58,6 +61,11 @@
 	return func(c *Client) { c.budget = rate.NewLimiter(rate.Limit(perSecond), burst) }
 }
 
+// WithObserver sets the observer of invalid responses.
+func WithObserver(observe jayresponse.Observer) Option {
+	return func(c *Client) { c.observe = observe }
+}
+
 // Append adds a record and returns its offset. It repeats the record under
 // the same ID until a reply comes or ctx ends; KindUnavailable then means
 // that the record may or may not have taken effect.
@@ -158,12 +166,12 @@
 		return 0, errors.WithStack(err)
 	}
 	defer response.Body.Close() //nolint:errcheck // The body has been read.
-	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusGone {
-		return response.StatusCode, nil
-	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxBatchBytes))
 	if err != nil {
 		return 0, errors.WithStack(err)
 	}
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusGone {
+		return response.StatusCode, nil
+	}
 	return response.StatusCode, errors.WithStack(msgpack.Unmarshal(data, out))
 }
--- a/jay/jaysite/malformed_test.go
+++ b/jay/jaysite/malformed_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"jayfield.example/jay/jayengine"
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaylist"
+	"jayfield.example/jay/jaylog"
 )
 
 // uploadBytes is the size of a body that does not fit into the buffers of a connection that is not read.
@@ -107,6 +110,42 @@
 	}
 }
 
+func otherCalls() map[string]clientCall {
+	return map[string]clientCall{
+		"log, append": {send: func(ctx context.Context, url string) error {
+			c := jaylog.NewClient(url)
+			defer c.Close()
+			_, err := c.AppendAt(ctx, jaylog.StreamConfig, jaylog.NewWriter("w").Record("k", make([]byte, uploadBytes)), 0)
+			return err
+		}},
+		"log, read": {small: true, send: func(ctx context.Context, url string) error {
+			c := jaylog.NewClient(url)
+			defer c.Close()
+			_, err := c.Read(ctx, jaylog.StreamConfig, 0, 0)
+			return err
+		}},
+		"list, read": {small: true, send: func(ctx context.Context, url string) error {
+			c := jaylist.NewClient(url, nil)
+			defer c.Close()
+			_, err := c.List(ctx)
+			return err
+		}},
+		"list, write": {send: func(ctx context.Context, url string) error {
+			c := jaylist.NewClient(url, nil)
+			defer c.Close()
+			return c.Put(ctx, jaylist.Instance{Name: "i", Address: strings.Repeat("a", uploadBytes)})
+		}},
+	}
+}
+
+func clientCalls() map[string]clientCall {
+	calls := engineCalls()
+	for name, call := range otherCalls() {
+		calls[name] = call
+	}
+	return calls
+}
+
 // saysNotRun reports whether an error says that a request was not run.
 func saysNotRun(err error) bool {
 	for _, kind := range []jayengine.Kind{jayengine.KindUnreachable, jayengine.KindLeaving, jayengine.KindBusy, jayengine.KindFence, jayengine.KindRefused} {
@@ -114,7 +153,7 @@
 			return true
 		}
 	}
-	return false
+	return jayerror.Is(err, jaylog.KindRefused) || jayerror.Is(err, jaylog.KindConflict)
 }
 
 // Guards against a malformed or truncated response that a client takes for an answer, or for one that says that the request was
@@ -137,7 +176,7 @@
 		"failed, cut off":         "HTTP/1.1 412 Precondition Failed\r\n" + cutOff,
 	}
 	for name, response := range responses {
-		for callName, call := range engineCalls() {
+		for callName, call := range clientCalls() {
 			t.Run(name+", "+callName, func(t *testing.T) {
 				url := rawServer(t, func(conn *net.TCPConn, reader *bufio.Reader) {
 					io.WriteString(conn, response)
@@ -157,7 +196,7 @@
 // Guards against a response that was reset during the upload of the request and is taken for complete.
 func TestResetResponseIsNoAnswer(t *testing.T) {
 	const repeats = 30
-	for name, call := range engineCalls() {
+	for name, call := range clientCalls() {
 		if call.small {
 			continue
 		}
