Reject invalid responses in the clients of callers and operators

What callers saw: the client library and the command line took malformed answers, and the part of an answer whose connection was reset during an upload, for the answer; a publish or a check of an operator with a malformed failure counted as refused.

Cause: as of the other clients of net/http.

Evidence: the cases "caller" and "operator" of TestInvalidResponseIsNoAnswer and TestResetResponseIsNoAnswer.

Change: both clients use jayresponse.Transport. The error holds the kind; an order asks for its outcome again, as after any answer that was lost.

--- a/jay/jayclient/caller.go
+++ b/jay/jayclient/caller.go
@@ -19,6 +19,7 @@
 	"jayfield.example/jay/jaycall"
 	"jayfield.example/jay/jayentry"
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayresponse"
 )
 
 const (
@@ -51,7 +52,7 @@
 func NewCaller(key, region string, seeds ...string) *Caller {
 	dialer := &net.Dialer{Timeout: dialBound}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeaderBytes}
-	return &Caller{key: key, region: region, seeds: seeds, http: &http.Client{Transport: transport}}
+	return &Caller{key: key, region: region, seeds: seeds, http: &http.Client{Transport: jayresponse.NewTransport(transport, nil)}}
 }
 
 // Close releases idle connections.
--- a/jay/jayclient/operator.go
+++ b/jay/jayclient/operator.go
@@ -12,6 +12,7 @@
 	"jayfield.example/jay/jayadmin"
 	"jayfield.example/jay/jayconfig"
 	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayresponse"
 	"jayfield.example/jay/jaystate"
 )
 
@@ -23,7 +24,8 @@
 
 // NewOperator returns a client that publishes under an operator's name.
 func NewOperator(address, key, name string) *Operator {
-	return &Operator{address: address, key: key, name: name, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}}}
+	transport := jayresponse.NewTransport(&http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}, nil)
+	return &Operator{address: address, key: key, name: name, http: &http.Client{Transport: transport}}
 }
 
 // Check has a document parsed and changes nothing.
--- a/jay/jaysite/malformed_test.go
+++ b/jay/jaysite/malformed_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"jayfield.example/jay/jayclient"
 	"jayfield.example/jay/jayengine"
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaylist"
@@ -111,6 +112,7 @@
 }
 
 func otherCalls() map[string]clientCall {
+	const key = "key"
 	return map[string]clientCall{
 		"log, append": {send: func(ctx context.Context, url string) error {
 			c := jaylog.NewClient(url)
@@ -135,6 +137,23 @@
 			defer c.Close()
 			return c.Put(ctx, jaylist.Instance{Name: "i", Address: strings.Repeat("a", uploadBytes)})
 		}},
+		"caller": {send: func(ctx context.Context, url string) error {
+			c := jayclient.NewCaller(key, "", url)
+			defer c.Close()
+			return readAll(c.Do(ctx, url, http.MethodPost, "/services/s/x", nil, make([]byte, uploadBytes)))
+		}},
+		"caller, entries": {small: true, send: func(ctx context.Context, url string) error {
+			c := jayclient.NewCaller(key, "", url)
+			defer c.Close()
+			_, err := c.Entries(ctx)
+			return err
+		}},
+		"operator": {send: func(ctx context.Context, url string) error {
+			o := jayclient.NewOperator(url, key, "o")
+			defer o.Close()
+			_, err := o.Publish(ctx, "f", strings.Repeat("x", uploadBytes), false)
+			return err
+		}},
 	}
 }
 
@@ -153,7 +172,7 @@
 			return true
 		}
 	}
-	return jayerror.Is(err, jaylog.KindRefused) || jayerror.Is(err, jaylog.KindConflict)
+	return jayerror.Is(err, jaylog.KindRefused) || jayerror.Is(err, jaylog.KindConflict) || jayerror.Is(err, jayclient.KindNotRun) || jayerror.Is(err, jayclient.KindRefused)
 }
 
 // Guards against a malformed or truncated response that a client takes for an answer, or for one that says that the request was
