Count a refusal only once its response is complete

What callers saw: a response with "Not-Executed" or status 421 that was cut off before its announced end, or in an invalid chunk, was read as "not run": the request was sent to another upstream, or the caller got a 503 that promises that it was not run.

Cause: the relay acted on the header and closed the connection.

Change: the relay reads a refusal to its end, within the limit of a response and the deadline, before it counts. One that is cut off fails like any response that was: it may have run, and the caller gets 502 without Retry-After.

--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -100,6 +101,7 @@
 	}
 	x.recordStatement(to, resp.reply)
 	if f := checkResponse(resp, s.PrefillOnly); f != nil {
+		f = x.confirmRefusal(ctx, resp, f)
 		response.Close()
 		x.recordResponse(resp, f.outcome)
 		if f.ran {
@@ -111,6 +113,23 @@
 	return resp, nil
 }
 
+// confirmRefusal returns the failure for a response that cannot be used. If it says that the request was not run, that
+// counts only once the whole response has arrived.
+func (x *exchange) confirmRefusal(ctx context.Context, resp *upstreamResponse, refused *failure) *failure {
+	if refused.ran {
+		return refused
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && n > maxResponseBytes {
+		err = errors.Errorf("refusal is larger than %d bytes", maxResponseBytes)
+	}
+	if err == nil {
+		return refused
+	}
+	x.countInvalid(resp.upstream.ID, err)
+	return x.exchangeFailure(ctx, err)
+}
+
 // recordStatement reports what an upstream states about itself in an answer to the placer.
 func (x *exchange) recordStatement(u jayfleet.Upstream, reply Reply) {
 	if reply.Leaving {
