--- a/jay/jayresponse/transport_test.go
+++ b/jay/jayresponse/transport_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +52,9 @@
 		return "", err
 	}
 	request.ContentLength = int64(size)
+	if size == 0 {
+		request.Body = http.NoBody
+	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return "", err
@@ -96,14 +98,14 @@
 
 // Guards against a malformed response without a body whose connection serves the next request.
 func TestTransportClosesConnectionOfMalformedResponse(t *testing.T) {
-	var requests atomic.Int32
+	connections := make(chan net.Addr, 2)
 	url := serve(t, func(conn *net.TCPConn, _ *bufio.Reader) bool {
-		if requests.Add(1) == 1 {
+		connections <- conn.RemoteAddr()
+		if len(connections) == 1 {
 			io.WriteString(conn, "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 0\r\n\r\n")
 			return true
 		}
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond")
-		// The second request must come on a new connection, which begins with it.
 		return false
 	})
 	var observed []jayresponse.Kind
@@ -112,10 +114,12 @@
 	if _, err := post(t.Context(), transport, url, 0); !jayerror.Is(err, jayresponse.KindMalformed) {
 		t.Errorf("error = %v, want malformed", err)
 	}
-	time.Sleep(time.Millisecond)
 	if body, err := post(t.Context(), transport, url, 0); err != nil || body != "second" {
 		t.Errorf("body = %q, %v", body, err)
 	}
+	if first, second := <-connections, <-connections; first.String() == second.String() {
+		t.Error("the connection of the malformed response was used again")
+	}
 	if len(observed) != 1 || observed[0] != jayresponse.KindMalformed {
 		t.Errorf("observed = %v", observed)
 	}
