Close the connection of a broken response to a release

What callers saw: nothing so far. The connection on which an engine answered the release of a KV cache with an invalid chunk was kept, and the next request to that engine was sent on it.

Cause: releaseKV completed the response whether or not its body could be read.

Change: a response whose body cannot be read is closed.

--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -311,8 +311,11 @@
 	response, err := s.links.Exchange(ctx, prefillUpstream.Address, request)
 	if err == nil {
 		s.recordStatement(prefillUpstream, s.dialect.ParseReply(response.Status, response.Header))
-		_, err = io.Copy(io.Discard, response.Body)
-		response.Complete()
+		if _, err = io.Copy(io.Discard, response.Body); err == nil {
+			response.Complete()
+		} else {
+			response.Close()
+		}
 	}
 	if err != nil {
 		s.countInvalid(prefillUpstream.ID, err)
