--- a/jay/jayresponse/error.go
+++ b/jay/jayresponse/error.go
@@ -9,7 +9,8 @@
 const (
 	// KindMalformed means that the status line or the header breaks the syntax of HTTP.
 	KindMalformed Kind = "malformed"
-	// KindTruncated means that the connection failed before the end of the response.
+	// KindTruncated means that a write found that the connection had failed before the end of the response. If a read
+	// finds it, its error is the one of the connection.
 	KindTruncated Kind = "truncated"
 )
 
