Reset the connection of a cut-off response of version 1.0

What callers saw: a stream to a caller of HTTP/1.0 that was cut off, as the response of its engine was, ended like a complete one.

Cause: version 1.0 has no chunks, so the end of the connection is the end of the body, and net/http closes a connection in order when a handler is aborted. With version 1.1 the missing last chunk tells.

Evidence: platform TestCutOffStreamIsNotCompleteInVersion10, case "cut off", failed before in each of 3 runs: both events, then the end without an error.

Change: jayserver sets the connection of such a request so that closing it resets it, until the handler has returned. A stop that closes connections in the middle of a response resets them as well.

--- a/jay/jayserver/conn.go
+++ b/jay/jayserver/conn.go
@@ -1,6 +1,7 @@
 package jayserver
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -20,12 +21,44 @@
 	// received is set if bytes have arrived since the last write: they belong to a request
 	// that has not been answered.
 	received atomic.Bool
+	// aborting is set by the handler of a request.
+	aborting bool
 }
 
 func newCallerConn(conn net.Conn) *callerConn {
 	return &callerConn{Conn: conn, acceptedAt: time.Now()}
 }
 
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// withConn adds a connection to the context of its requests.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// connOf returns the connection of a request, nil if it is not one of the server.
+func connOf(r *http.Request) *callerConn {
+	conn, _ := r.Context().Value(connKey{}).(*callerConn)
+	return conn
+}
+
+// setAborting sets whether closing the connection resets it. During a response of version 1.0, whose body may extend
+// to the end of the connection, an orderly end would make a response that is cut off look complete.
+func (c *callerConn) setAborting(aborting bool) {
+	if c == nil || c.aborting == aborting {
+		return
+	}
+	c.aborting = aborting
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		seconds := -1
+		if aborting {
+			seconds = 0
+		}
+		_ = conn.SetLinger(seconds) // It fails only if the connection is closed.
+	}
+}
+
 // Read reads a part of a request.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/jay/jayserver/server.go
+++ b/jay/jayserver/server.go
@@ -75,6 +75,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		ConnState:         s.track,
+		ConnContext:       withConn,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
 	if s.current != nil {
@@ -265,10 +266,13 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	writer := &closingWriter{ResponseWriter: w, draining: s.isDraining}
+	conn := connOf(r)
+	conn.setAborting(!r.ProtoAtLeast(1, 1))
 	s.handler.ServeHTTP(writer, r)
 	if !writer.wroteHeader {
 		writer.WriteHeader(http.StatusOK)
 	}
+	conn.setAborting(false)
 }
 
 func (s *Server) isDraining() bool {
