State comments of the checks of responses plainly

Cause: comments said that a response "says nothing" or does not "count", where they meant that a request may have run.

--- a/jay/jayengine/client.go
+++ b/jay/jayengine/client.go
@@ -210,7 +210,7 @@
 	return KindBroken
 }
 
-// discard reads the rest of an answer, which must be whole to count.
+// discard reads the rest of a response. It returns an error of KindBroken if the response is truncated.
 func discard(op string, response *http.Response) error {
 	defer response.Body.Close() //nolint:errcheck // The body has been read.
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxControlBytes)); err != nil {
@@ -219,7 +219,7 @@
 	return nil
 }
 
-// refusal reads the answer of an upstream that did not accept a request. One that is cut off says nothing.
+// refusal returns the error for a response that rejects a request, of KindBroken if the response is truncated.
 func refusal(op string, response *http.Response) error {
 	defer response.Body.Close() //nolint:errcheck // The answer is an error already.
 	text, err := io.ReadAll(io.LimitReader(response.Body, 1<<10))
--- a/jay/jayrelay/send.go
+++ b/jay/jayrelay/send.go
@@ -113,8 +113,8 @@
 	return resp, nil
 }
 
-// confirmRefusal returns the failure for a response that cannot be used. If it says that the request was not run, that
-// counts only once the whole response has arrived.
+// confirmRefusal returns the failure for a response that checkResponse rejects. A rejection of a request that did not run
+// is accepted only if the response is complete; otherwise the request may have run.
 func (x *exchange) confirmRefusal(ctx context.Context, resp *upstreamResponse, refused *failure) *failure {
 	if refused.ran {
 		return refused
--- a/jay/jayresponse/error.go
+++ b/jay/jayresponse/error.go
@@ -2,7 +2,7 @@
 
 import "jayfield.example/jay/jayerror"
 
-// Kind classifies what is wrong with a response. None of the kinds says whether the request was run.
+// Kind classifies an invalid response. With each kind, the request may have run.
 type Kind string
 
 // Kinds of invalid responses.
--- a/jay/jaysite/malformed_test.go
+++ b/jay/jaysite/malformed_test.go
@@ -47,7 +47,7 @@
 	return "http://" + listener.Addr().String()
 }
 
-// clientCall is a request of a client. Its error must not say that it was not run.
+// clientCall is a request of a client, whose error must not have a kind that excludes that it ran.
 type clientCall struct {
 	send func(ctx context.Context, url string) error
 	// small is set if the request has no body that could be written during a reset.
@@ -165,7 +165,7 @@
 	return calls
 }
 
-// saysNotRun reports whether an error says that a request was not run.
+// saysNotRun reports whether an error has a kind that excludes that the request ran.
 func saysNotRun(err error) bool {
 	for _, kind := range []jayengine.Kind{jayengine.KindUnreachable, jayengine.KindLeaving, jayengine.KindBusy, jayengine.KindFence, jayengine.KindRefused} {
 		if jayerror.Is(err, kind) {
@@ -175,8 +175,8 @@
 	return jayerror.Is(err, jaylog.KindRefused) || jayerror.Is(err, jaylog.KindConflict) || jayerror.Is(err, jayclient.KindNotRun) || jayerror.Is(err, jayclient.KindRefused)
 }
 
-// Guards against a malformed or truncated response that a client takes for an answer, or for one that says that the request was
-// not run.
+// Guards against a malformed or truncated response that a client accepts, or from which it concludes that the request
+// did not run.
 func TestInvalidResponseIsNoAnswer(t *testing.T) {
 	// The body is one of each protocol: an empty JSON object, which is also a message of the log.
 	const body, cutOff = "Content-Length: 2\r\n\r\n{}", "Content-Length: 9\r\n\r\n{}"
