--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -70,23 +70,31 @@
 	own := t.mirror.Next()
 	if p, ok := t.zonePosition(); ok {
 		if f := t.fetch(ctx, p.peer, -1, fetchBound); f.result == resultFetched && f.next >= own {
+			t.logNewest(p.peer, own, f.next, len(f.records))
 			t.mirror.MarkPending(f.at, f.next)
 			return f.records, f.next, nil
 		}
 	}
 	list, end, err := t.store.Newest(ctx, topic)
 	if err == nil {
+		t.logNewest("store", own, end, len(list))
 		end = t.history.begin(len(list), end)
 		t.mirror.MarkPending(time.Now(), end)
 		return list, end, nil
 	}
 	if f, ok := t.fetchFallback(ctx, -1); ok && f.next > -1 && f.next >= own {
+		t.logNewest("another instance", own, f.next, len(f.records))
 		t.mirror.MarkPending(f.at, f.next)
 		return f.records, f.next, nil
 	}
 	return nil, 0, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
 
+// logNewest logs from where the newest records came, and the own position before.
+func (t *TopicReader) logNewest(source string, own, next int64, records int) {
+	t.roster.log.Info("newest records read", "topic", t.topic, "source", source, "own", own, "next", next, "records", records)
+}
+
 // Read returns records from an offset on, from another instance of the zone as soon as one
 // has some, or from the store.
 func (t *TopicReader) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
