--- a/jay/jayduty/machine.go
+++ b/jay/jayduty/machine.go
@@ -55,7 +55,7 @@
 	// Until is the end of a wait.
 	Until time.Duration
 	// End is the offset at which a read begins or at which the topic has to end for an append.
-	End    int64
+	End    jaystore.Position
 	Record Record
 }
 
@@ -78,7 +78,7 @@
 type Machine struct {
 	Options
 	// position is the offset to read next.
-	position int64
+	position jaystore.Position
 	// readAt is when the topic was last read, and doubt is set if the next step has to be a read, since an
 	// append had a conflict or no answer.
 	readAt time.Duration
@@ -137,7 +137,7 @@
 }
 
 // ApplyNewest processes the newest record of each key of the topic, read with its end offset.
-func (m *Machine) ApplyNewest(now time.Duration, records []jaystore.Record, end int64) {
+func (m *Machine) ApplyNewest(now time.Duration, records []jaystore.Record, end jaystore.Position) {
 	found := false
 	m.position, m.readAt, m.doubt = end, now, false
 	for _, r := range records {
@@ -145,7 +145,7 @@
 			found = true
 			m.apply(now, r)
 			// The end offset may have been read later than the record.
-			m.position = r.Offset + 1
+			m.position = r.Position + 1
 		}
 	}
 	if !found {
@@ -154,13 +154,13 @@
 }
 
 // ApplyRead processes the records read from the offset of the step on, and the offset after them.
-func (m *Machine) ApplyRead(now time.Duration, records []jaystore.Record, next int64) {
+func (m *Machine) ApplyRead(now time.Duration, records []jaystore.Record, next jaystore.Position) {
 	if next < m.position {
 		m.Restart()
 		return
 	}
 	for _, r := range records {
-		if r.Key == Key && r.Offset >= m.position {
+		if r.Key == Key && r.Position >= m.position {
 			m.apply(now, r)
 		}
 	}
@@ -213,10 +213,16 @@
 	return m.position == 0 || m.newest.Kind == KindRelease || now-m.seenAt >= m.TTL+ClaimMargin
 }
 
-// actsFrom returns when the holder of a claim at an offset may begin to call the control API: calls of a former
+// fenceOf returns the fencing token of a claim at a position. That of a later claim is higher, also where the store has come back
+// from a copy that lacks the claim before it.
+func fenceOf(position jaystore.Position) int64 {
+	return int64(position) + 1
+}
+
+// actsFrom returns when the holder of a claim at a position may begin to call the control API: calls of a former
 // holder may arrive until then. The first record of the topic has none before it.
-func (m *Machine) actsFrom(now time.Duration, offset int64) time.Duration {
-	if offset == 0 {
+func (m *Machine) actsFrom(now time.Duration, position jaystore.Position) time.Duration {
+	if position == 0 {
 		return now
 	}
 	return now + m.TTL
@@ -249,7 +255,7 @@
 func (m *Machine) append(now time.Duration, kind Kind) Step {
 	fence := m.newest.Fence
 	if kind == KindClaim {
-		fence = m.position + 1
+		fence = fenceOf(m.position)
 	}
 	m.pending = Record{Kind: kind, Machine: m.Machine, Incarnation: m.Incarnation, Fence: fence, Nonce: m.Nonce()}
 	m.sentAt = now
@@ -266,18 +272,18 @@
 	if err != nil {
 		record = Record{Kind: kindMalformed}
 	}
-	m.applyRecord(now, record, r.Offset)
+	m.applyRecord(now, record, r.Position)
 }
 
-func (m *Machine) applyRecord(now time.Duration, record Record, offset int64) {
+func (m *Machine) applyRecord(now time.Duration, record Record, position jaystore.Position) {
 	m.newest, m.seenAt = record, now
 	switch {
 	case !m.own() || record.Kind == KindRelease:
 		m.lease, m.resigned = Lease{}, false
 	case m.stopping || m.resigned:
 		return
-	case record.Kind == KindClaim && m.lease.Fence != offset+1:
-		m.lease = Lease{Fence: offset + 1, ActsFrom: m.actsFrom(now, offset)}
+	case record.Kind == KindClaim && m.lease.Fence != fenceOf(position):
+		m.lease = Lease{Fence: fenceOf(position), ActsFrom: m.actsFrom(now, position)}
 	}
 	// The lease of an older append whose effect came late has run from before its own send, which is no
 	// longer known: it is left as it is and renewed at once.
--- a/jay/jayduty/machine_test.go
+++ b/jay/jayduty/machine_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		o.t.Fatal(err)
 	}
-	o.records = append(o.records, jaystore.Record{Key: jayduty.Key, Value: value, Offset: int64(len(o.records))})
+	o.records = append(o.records, jaystore.Record{Key: jayduty.Key, Value: value, Position: jaystore.Position(len(o.records))})
 }
 
 // run lets time pass and takes the machine's steps.
@@ -48,10 +48,10 @@
 			o.machine.Appended(o.now, jayduty.ResultUnknown)
 		case o.down:
 		case step.Action == jayduty.ActionNewest:
-			o.machine.ApplyNewest(o.now, o.records[max(0, len(o.records)-1):], int64(len(o.records)))
+			o.machine.ApplyNewest(o.now, o.records[max(0, len(o.records)-1):], jaystore.Position(len(o.records)))
 		case step.Action == jayduty.ActionRead:
-			o.machine.ApplyRead(o.now, o.records[step.End:], int64(len(o.records)))
-		case step.End != int64(len(o.records)):
+			o.machine.ApplyRead(o.now, o.records[step.End:], jaystore.Position(len(o.records)))
+		case step.End != jaystore.Position(len(o.records)):
 			o.machine.Appended(o.now, jayduty.ResultConflict)
 		default:
 			o.write(step.Record)
@@ -154,7 +154,7 @@
 func TestLateAppendDoesNotExtendLease(t *testing.T) {
 	o := newTopic(t)
 	o.run(10*time.Second, true)
-	before, end := o.machine.Lease(), int64(len(o.records))
+	before, end := o.machine.Lease(), jaystore.Position(len(o.records))
 	o.now = before.ExpiresAt
 	late := o.machine.Next(o.now, true)
 	if late.Action != jayduty.ActionAppend || late.End != end {
--- a/jay/jayduty/model_test.go
+++ b/jay/jayduty/model_test.go
@@ -23,7 +23,7 @@
 // lateAppend is an append that takes effect later, if the topic still ends where it has to.
 type lateAppend struct {
 	value []byte
-	end   int64
+	end   jaystore.Position
 	at    time.Duration
 }
 
@@ -61,7 +61,7 @@
 	now       time.Duration
 	wall      time.Duration
 	log       [][]byte
-	first     int64
+	first     jaystore.Position
 	down      bool
 	late      []lateAppend
 	calls     []call
@@ -133,7 +133,7 @@
 		records, end := m.newest(t, faulty)
 		i.response = func(now time.Duration) { i.machine.ApplyNewest(now, records, end) }
 	case jayduty.ActionRead:
-		records, next := m.records(step.End), int64(len(m.log))
+		records, next := m.records(step.End), jaystore.Position(len(m.log))
 		if step.End < m.first {
 			i.response = func(time.Duration) { i.machine.Restart() }
 			return
@@ -149,22 +149,22 @@
 }
 
 // newest returns the newest record and the end of the log, which a store with pages may read at two times.
-func (m *model) newest(t *rapid.T, faulty bool) ([]jaystore.Record, int64) {
+func (m *model) newest(t *rapid.T, faulty bool) ([]jaystore.Record, jaystore.Position) {
 	end := len(m.log)
 	at := end - 1
 	if faulty && end > 0 && rapid.IntRange(0, 3).Draw(t, "end is read later") == 0 {
 		at--
 	}
 	if at < 0 {
-		return nil, int64(end)
+		return nil, jaystore.Position(end)
 	}
-	return []jaystore.Record{{Key: jayduty.Key, Value: m.log[at], Offset: int64(at)}}, int64(end)
+	return []jaystore.Record{{Key: jayduty.Key, Value: m.log[at], Position: jaystore.Position(at)}}, jaystore.Position(end)
 }
 
-func (m *model) records(from int64) []jaystore.Record {
+func (m *model) records(from jaystore.Position) []jaystore.Record {
 	var records []jaystore.Record
-	for n := from; n < int64(len(m.log)); n++ {
-		records = append(records, jaystore.Record{Key: jayduty.Key, Value: m.log[n], Offset: n})
+	for n := from; n < jaystore.Position(len(m.log)); n++ {
+		records = append(records, jaystore.Record{Key: jayduty.Key, Value: m.log[n], Position: n})
 	}
 	return records
 }
@@ -199,8 +199,8 @@
 	return jayduty.ResultDone
 }
 
-func (m *model) execute(value []byte, end int64) bool {
-	if end != int64(len(m.log)) {
+func (m *model) execute(value []byte, end jaystore.Position) bool {
+	if end != jaystore.Position(len(m.log)) {
 		return false
 	}
 	m.log = append(m.log, value)
@@ -396,7 +396,7 @@
 				}
 			}
 		},
-		"expire": func(*rapid.T) { m.first = int64(len(m.log)) },
+		"expire": func(*rapid.T) { m.first = jaystore.Position(len(m.log)) },
 	}
 }
 
--- a/jay/jayedge/confirm_test.go
+++ b/jay/jayedge/confirm_test.go
@@ -135,8 +135,8 @@
 		if age := p.Age(); age != math.MaxInt64 {
 			t.Errorf("age before the first read = %s", age)
 		}
-		record := func(offset int64, value string) jaystore.Record {
-			return jaystore.Record{Key: "p", Value: []byte(value), Offset: offset}
+		record := func(offset jaystore.Position, value string) jaystore.Record {
+			return jaystore.Record{Key: "p", Value: []byte(value), Position: offset}
 		}
 		check := func(what string, want time.Duration) {
 			t.Helper()
--- a/jay/jayedge/contact.go
+++ b/jay/jayedge/contact.go
@@ -107,7 +107,7 @@
 }
 
 // Newest returns the newest record of each key.
-func (s observedStore) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (s observedStore) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	end := s.contact.begin(ctx, false)
 	records, next, err := s.Store.Newest(ctx, topic)
 	end(err)
@@ -115,7 +115,7 @@
 }
 
 // Read returns the records from an offset on.
-func (s observedStore) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (s observedStore) Read(ctx context.Context, topic jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	end := s.contact.begin(ctx, interrupt != nil)
 	records, next, err := s.Store.Read(ctx, topic, from, interrupt)
 	end(err)
@@ -123,7 +123,7 @@
 }
 
 // Put appends a record.
-func (s observedStore) Put(ctx context.Context, topic jaystore.Topic, key string, value []byte) (int64, error) {
+func (s observedStore) Put(ctx context.Context, topic jaystore.Topic, key string, value []byte) (jaystore.Position, error) {
 	end := s.contact.begin(ctx, false)
 	offset, err := s.Store.Put(ctx, topic, key, value)
 	end(err)
@@ -131,7 +131,7 @@
 }
 
 // PutAt appends a record if the topic ends at an offset.
-func (s observedStore) PutAt(ctx context.Context, topic jaystore.Topic, key string, value []byte, at int64) error {
+func (s observedStore) PutAt(ctx context.Context, topic jaystore.Topic, key string, value []byte, at jaystore.Position) error {
 	end := s.contact.begin(ctx, false)
 	err := s.Store.PutAt(ctx, topic, key, value, at)
 	end(err)
--- a/jay/jayedge/duty_test.go
+++ b/jay/jayedge/duty_test.go
@@ -23,7 +23,7 @@
 	mu      sync.Mutex
 	records []jaystore.Record
 	// first is the offset of the oldest record that can still be read.
-	first int64
+	first jaystore.Position
 	down  bool
 	// rejected are the instances whose calls fail at once.
 	rejected map[string]bool
@@ -57,17 +57,17 @@
 	return nil
 }
 
-func (c dutyClient) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (c dutyClient) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	c.wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.enter("newest"); err != nil {
 		return nil, 0, err
 	}
-	return c.records[max(0, len(c.records)-1):], int64(len(c.records)), nil
+	return c.records[max(0, len(c.records)-1):], jaystore.Position(len(c.records)), nil
 }
 
-func (c dutyClient) Read(_ context.Context, topic jaystore.Topic, from int64, _ <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (c dutyClient) Read(_ context.Context, topic jaystore.Topic, from jaystore.Position, _ <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	c.wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -83,24 +83,24 @@
 	if from < c.first {
 		return nil, 0, jayerror.New("read", jaystore.KindExpired, "expired")
 	}
-	return c.records[from:], int64(len(c.records)), nil
+	return c.records[from:], jaystore.Position(len(c.records)), nil
 }
 
-func (c dutyClient) Put(context.Context, jaystore.Topic, string, []byte) (int64, error) {
+func (c dutyClient) Put(context.Context, jaystore.Topic, string, []byte) (jaystore.Position, error) {
 	return 0, jayerror.New("put", jaystore.KindFormat, "the lease is written only under a condition")
 }
 
-func (c dutyClient) PutAt(_ context.Context, _ jaystore.Topic, key string, value []byte, end int64) error {
+func (c dutyClient) PutAt(_ context.Context, _ jaystore.Topic, key string, value []byte, end jaystore.Position) error {
 	c.wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.enter("put"); err != nil {
 		return err
 	}
-	if end != int64(len(c.records)) {
+	if end != jaystore.Position(len(c.records)) {
 		return jayerror.New("put", jaystore.KindConflict, "the topic has other records")
 	}
-	c.records = append(c.records, jaystore.Record{Key: key, Value: value, Offset: end})
+	c.records = append(c.records, jaystore.Record{Key: key, Value: value, Position: end})
 	return nil
 }
 
@@ -336,7 +336,7 @@
 	runDuties(t, 2, func(t *testing.T, s *dutySite) {
 		time.Sleep(10 * time.Second)
 		s.store.mu.Lock()
-		s.store.first = int64(len(s.store.records)) + 20
+		s.store.first = jaystore.Position(len(s.store.records)) + 20
 		s.store.mu.Unlock()
 		before := s.store.total("edge-0") + s.store.total("edge-1")
 		time.Sleep(time.Minute)
--- a/jay/jayedge/history.go
+++ b/jay/jayedge/history.go
@@ -25,20 +25,20 @@
 // With returns the history with another record. A malformed record changes nothing.
 func (h registryHistory) With(now time.Time, r jaystore.Record) (jaystore.History, bool) {
 	if len(r.Value) == 0 {
-		return h.next(h.history.WithRemoval(r.Offset), r), true
+		return h.next(h.history.WithRemoval(r.Position), r), true
 	}
 	u, err := h.adapter.ReadUpstream(r.Key, r.Value)
 	if err != nil {
 		// The consumer logs it.
 		return h, false
 	}
-	history, effect := h.history.With(now, r.Offset, u)
+	history, effect := h.history.With(now, r.Position, u)
 	return h.next(history, r), effect == jayfleet.EffectChanged
 }
 
 // Settled returns the history of what is registered now.
 func (h registryHistory) Settled() jaystore.History {
-	return h.next(h.history.Settled(), jaystore.Record{Offset: -1})
+	return h.next(h.history.Settled(), jaystore.Record{Position: -1})
 }
 
 // Records returns the records that the history depends on.
@@ -55,11 +55,11 @@
 	offsets := history.Offsets()
 	var records []jaystore.Record
 	for _, r := range append(slices.Clone(h.records), added) {
-		if slices.Contains(offsets, r.Offset) && !slices.ContainsFunc(records, func(other jaystore.Record) bool { return other.Offset == r.Offset }) {
+		if slices.Contains(offsets, r.Position) && !slices.ContainsFunc(records, func(other jaystore.Record) bool { return other.Position == r.Position }) {
 			records = append(records, r)
 		}
 	}
-	slices.SortFunc(records, func(a, b jaystore.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortFunc(records, func(a, b jaystore.Record) int { return cmp.Compare(a.Position, b.Position) })
 	h.history, h.records = history, records
 	return h
 }
--- a/jay/jayedge/outage_test.go
+++ b/jay/jayedge/outage_test.go
@@ -69,7 +69,7 @@
 	return jayerror.New("call", jaystore.KindUnavailable, "cut off")
 }
 
-func (s *outageStore) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (s *outageStore) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	if err := s.reach(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -83,7 +83,7 @@
 	return records, s.log.end(), nil
 }
 
-func (s *outageStore) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (s *outageStore) Read(ctx context.Context, topic jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	if err := s.reach(ctx); err != nil {
 		return nil, from, err
 	}
@@ -107,11 +107,13 @@
 	return s.log.records[from:], s.log.end(), nil
 }
 
-func (*outageStore) Put(context.Context, jaystore.Topic, string, []byte) (int64, error) {
+func (*outageStore) Put(context.Context, jaystore.Topic, string, []byte) (jaystore.Position, error) {
 	return 0, nil
 }
 
-func (*outageStore) PutAt(context.Context, jaystore.Topic, string, []byte, int64) error { return nil }
+func (*outageStore) PutAt(context.Context, jaystore.Topic, string, []byte, jaystore.Position) error {
+	return nil
+}
 
 type readySource struct{}
 
@@ -143,10 +145,10 @@
 
 type ignoringConsumer struct{}
 
-func (ignoringConsumer) Replace(context.Context, []jaystore.Record, int64) {}
-func (ignoringConsumer) Apply(context.Context, []jaystore.Record)          {}
-func (ignoringConsumer) Unavailable(context.Context, error)                {}
-func (ignoringConsumer) Available(context.Context)                         {}
+func (ignoringConsumer) Replace(context.Context, []jaystore.Record, jaystore.Position) {}
+func (ignoringConsumer) Apply(context.Context, []jaystore.Record)                      {}
+func (ignoringConsumer) Unavailable(context.Context, error)                            {}
+func (ignoringConsumer) Available(context.Context)                                     {}
 
 // register makes an engine register.
 func (s *outageStore) register(id string, sequence *int64) {
--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -220,7 +220,7 @@
 }
 
 // Replace processes a snapshot of the registry.
-func (p *placer) Replace(ctx context.Context, records []jaystore.Record, end int64) {
+func (p *placer) Replace(ctx context.Context, records []jaystore.Record, end jaystore.Position) {
 	p.send(ctx, func(s *placerState) {
 		ids := make(map[string]bool, len(records))
 		for _, record := range records {
@@ -246,28 +246,28 @@
 // apply processes one record of the registry.
 func (p *placer) apply(s *placerState, record jaystore.Record) {
 	if len(record.Value) == 0 {
-		p.log.Info("upstream entry removed", "upstream", record.Key, "offset", record.Offset)
-		s.fleet.Remove(time.Now(), record.Key, record.Offset)
+		p.log.Info("upstream entry removed", "upstream", record.Key, "offset", record.Position)
+		s.fleet.Remove(time.Now(), record.Key, record.Position)
 		return
 	}
 	upstream, err := p.adapter.ReadUpstream(record.Key, record.Value)
 	if err != nil {
-		p.log.Warn("upstream entry malformed", "upstream", record.Key, "offset", record.Offset, "error", err)
+		p.log.Warn("upstream entry malformed", "upstream", record.Key, "offset", record.Position, "error", err)
 		return
 	}
 	before := s.fleet.Changes()
-	switch s.fleet.Put(time.Now(), record.Offset, upstream) {
+	switch s.fleet.Put(time.Now(), record.Position, upstream) {
 	case jayfleet.OutcomeHeldBack:
 		p.log.Info("upstream entry held back", "upstream", upstream.ID, "born", upstream.Born, "sequence", upstream.Sequence,
-			"offset", record.Offset, "reason", "its start time is lower than that of a start before it")
+			"offset", record.Position, "reason", "its start time is lower than that of a start before it")
 	case jayfleet.OutcomeLate:
 		p.log.Info("upstream entry late", "upstream", upstream.ID, "born", upstream.Born, "sequence", upstream.Sequence,
-			"leaving", upstream.Leaving, "offset", record.Offset, "reason", "its start has ended, or has registered before with a sequence that is not lower")
+			"leaving", upstream.Leaving, "offset", record.Position, "reason", "its start has ended, or has registered before with a sequence that is not lower")
 	case jayfleet.OutcomeApplied:
 	}
 	if s.fleet.Changes() != before {
 		p.log.Info("upstream entry", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
-			"leaving", upstream.Leaving, "leavesIn", upstream.LeavesIn, "preemptible", upstream.Preemptible, "stage", upstream.Stage, "born", upstream.Born, "offset", record.Offset)
+			"leaving", upstream.Leaving, "leavesIn", upstream.LeavesIn, "preemptible", upstream.Preemptible, "stage", upstream.Stage, "born", upstream.Born, "offset", record.Position)
 	}
 }
 
--- a/jay/jayedge/policy.go
+++ b/jay/jayedge/policy.go
@@ -19,7 +19,7 @@
 	onChange func(*jaytraffic.Policy)
 	// mirror forwards the records of the topic to the policies.
 	mirror *jaystore.Mirror
-	// applied is the offset after the last record that was processed.
+	// applied is the position after the last record that was processed.
 	applied atomic.Int64
 }
 
@@ -33,7 +33,7 @@
 // records as read before they are processed; until then the age is unknown, which is the highest age.
 func (p *policies) Age() time.Duration {
 	changed, readAt := p.mirror.Position()
-	if readAt.IsZero() || p.applied.Load() < changed {
+	if readAt.IsZero() || jaystore.Position(p.applied.Load()) < changed {
 		return math.MaxInt64
 	}
 	return time.Since(readAt)
@@ -53,21 +53,21 @@
 }
 
 // Replace processes a snapshot of the topic.
-func (p *policies) Replace(ctx context.Context, records []jaystore.Record, end int64) {
+func (p *policies) Replace(ctx context.Context, records []jaystore.Record, end jaystore.Position) {
 	p.Apply(ctx, records)
 	p.markApplied(end)
 }
 
 // markApplied records that all records before an offset were processed.
-func (p *policies) markApplied(next int64) {
-	p.applied.Store(max(p.applied.Load(), next))
+func (p *policies) markApplied(next jaystore.Position) {
+	p.applied.Store(max(p.applied.Load(), int64(next)))
 }
 
 // Apply puts each policy among the records into force if its version is higher than the one in force.
 func (p *policies) Apply(_ context.Context, records []jaystore.Record) {
 	for _, record := range records {
 		p.apply(record)
-		p.markApplied(record.Offset + 1)
+		p.markApplied(record.Position + 1)
 	}
 }
 
@@ -77,15 +77,15 @@
 	}
 	policy, err := p.adapter.ReadPolicy(record.Value)
 	if err != nil {
-		p.log.Warn("policy malformed", "offset", record.Offset, "error", err)
+		p.log.Warn("policy malformed", "offset", record.Position, "error", err)
 		return
 	}
 	if inForce := p.current.Load(); inForce != nil && policy.Version <= inForce.Version {
-		p.log.Info("policy is not newer", "version", policy.Version, "inForce", inForce.Version, "offset", record.Offset)
+		p.log.Info("policy is not newer", "version", policy.Version, "inForce", inForce.Version, "offset", record.Position)
 		return
 	}
 	p.current.Store(policy)
-	p.log.Info("policy in force", "version", policy.Version, "offset", record.Offset, "routes", policy.Routes(), "accounts", accountCount(policy))
+	p.log.Info("policy in force", "version", policy.Version, "offset", record.Position, "routes", policy.Routes(), "accounts", accountCount(policy))
 	if n := policy.MalformedAccounts(); n > 0 {
 		p.log.Warn("accounts of the policy left out as malformed", "version", policy.Version, "accounts", n)
 	}
--- a/jay/jayedge/registry_test.go
+++ b/jay/jayedge/registry_test.go
@@ -50,10 +50,10 @@
 	due      time.Time
 }
 
-func (l *registryLog) end() int64 { return int64(len(l.records)) }
+func (l *registryLog) end() jaystore.Position { return jaystore.Position(len(l.records)) }
 
 func (l *registryLog) put(key string, value []byte) {
-	l.records, l.at = append(l.records, jaystore.Record{Key: key, Value: value, Offset: l.end()}), append(l.at, time.Now())
+	l.records, l.at = append(l.records, jaystore.Record{Key: key, Value: value, Position: l.end()}), append(l.at, time.Now())
 }
 
 func (l *registryLog) write(u jayfleet.Upstream) {
@@ -75,7 +75,7 @@
 }
 
 // snapshot returns the newest record of each key, and where the records of the last historyTime begin.
-func (l *registryLog) snapshot() ([]jaystore.Record, int64) {
+func (l *registryLog) snapshot() ([]jaystore.Record, jaystore.Position) {
 	newest := make(map[string]jaystore.Record)
 	from := l.end()
 	for n, r := range slices.Backward(l.records) {
@@ -83,7 +83,7 @@
 			newest[r.Key] = r
 		}
 		if time.Since(l.at[n]) <= historyTime {
-			from = r.Offset
+			from = r.Position
 		}
 	}
 	maps.DeleteFunc(newest, func(_ string, r jaystore.Record) bool { return len(r.Value) == 0 })
@@ -94,7 +94,7 @@
 type registryReader struct {
 	placer *placer
 	mirror *jaystore.Mirror
-	next   int64
+	next   jaystore.Position
 	joined time.Time
 }
 
@@ -105,13 +105,13 @@
 	}
 }
 
-func (r *registryReader) replace(records []jaystore.Record, end int64) {
+func (r *registryReader) replace(records []jaystore.Record, end jaystore.Position) {
 	r.mirror.MarkPending(time.Now(), end)
 	r.mirror.Replace(context.Background(), records, end)
 	r.next = end
 }
 
-func (r *registryReader) extend(records []jaystore.Record, end int64) {
+func (r *registryReader) extend(records []jaystore.Record, end jaystore.Position) {
 	r.next = end
 	if len(records) == 0 {
 		r.mirror.MarkRead(time.Now(), end)
@@ -329,7 +329,7 @@
 func (w *registryWorld) fail(what string) {
 	for n, r := range w.log.records {
 		if age := time.Since(w.log.at[n]); age < 2*jayfleet.Retention {
-			w.Logf("%6.1f s before: offset %d, %s %s", age.Seconds(), r.Offset, r.Key, r.Value)
+			w.Logf("%6.1f s before: offset %d, %s %s", age.Seconds(), r.Position, r.Key, r.Value)
 		}
 	}
 	w.Fatal(what)
--- a/jay/jayedge/scale.go
+++ b/jay/jayedge/scale.go
@@ -46,8 +46,8 @@
 
 // ScaleStore keeps the orders.
 type ScaleStore interface {
-	Newest(ctx context.Context, topic jaystore.Topic) (records []jaystore.Record, end int64, err error)
-	PutAt(ctx context.Context, topic jaystore.Topic, key string, value []byte, end int64) error
+	Newest(ctx context.Context, topic jaystore.Topic) (records []jaystore.Record, end jaystore.Position, err error)
+	PutAt(ctx context.Context, topic jaystore.Topic, key string, value []byte, end jaystore.Position) error
 }
 
 // ScaleDemand returns what the instances of each availability zone put on a service.
@@ -102,7 +102,8 @@
 	restored map[string]map[jaycapacity.Group]scaleRecord
 	// fence is the fencing token under which the records were read, 0 if they were not, and end the end of
 	// the topic, -1 if it has to be read again.
-	fence, end int64
+	fence int64
+	end   jaystore.Position
 	// registered holds since when an engine has been in the registry, by ID and start.
 	registered map[engineKey]time.Time
 	report     atomic.Pointer[ScaleReport]
@@ -201,7 +202,7 @@
 		service, group, ok := parseScaleKey(r.Key)
 		var record scaleRecord
 		if err := msgpack.Unmarshal(r.Value, &record); err != nil || !ok {
-			s.Log.Warn("recorded order of engines malformed", "key", r.Key, "offset", r.Offset, "error", err)
+			s.Log.Warn("recorded order of engines malformed", "key", r.Key, "offset", r.Position, "error", err)
 			continue
 		}
 		if record.Fence > fence {
--- a/jay/jayedge/scale_test.go
+++ b/jay/jayedge/scale_test.go
@@ -61,7 +61,7 @@
 	return d.callFails
 }
 
-func (d *deployment) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (d *deployment) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	newest := make(map[string]jaystore.Record)
 	for _, r := range d.records {
 		newest[r.Key] = r
@@ -70,14 +70,14 @@
 	for _, r := range newest {
 		list = append(list, r)
 	}
-	return list, int64(len(d.records)), nil
+	return list, jaystore.Position(len(d.records)), nil
 }
 
-func (d *deployment) PutAt(_ context.Context, topic jaystore.Topic, key string, value []byte, end int64) error {
-	if end != int64(len(d.records)) || topic != jaystore.TopicScale {
+func (d *deployment) PutAt(_ context.Context, topic jaystore.Topic, key string, value []byte, end jaystore.Position) error {
+	if end != jaystore.Position(len(d.records)) || topic != jaystore.TopicScale {
 		return jayerror.New("put", jaystore.KindConflict, "the topic ends elsewhere")
 	}
-	d.records = append(d.records, jaystore.Record{Key: key, Value: value, Offset: end})
+	d.records = append(d.records, jaystore.Record{Key: key, Value: value, Position: end})
 	d.events = append(d.events, "record "+strings.Split(key, "/")[1])
 	return d.putFails
 }
--- a/jay/jayedge/usage.go
+++ b/jay/jayedge/usage.go
@@ -46,8 +46,8 @@
 
 // usageStore holds the usage reports.
 type usageStore interface {
-	Newest(ctx context.Context, topic jaystore.Topic) (records []jaystore.Record, end int64, err error)
-	PutAt(ctx context.Context, topic jaystore.Topic, key string, value []byte, end int64) error
+	Newest(ctx context.Context, topic jaystore.Topic) (records []jaystore.Record, end jaystore.Position, err error)
+	PutAt(ctx context.Context, topic jaystore.Topic, key string, value []byte, end jaystore.Position) error
 }
 
 // usageCollector sums the counts of each availability zone.
@@ -176,7 +176,7 @@
 	for _, r := range records {
 		var stored usageRecord
 		if err := msgpack.Unmarshal(r.Value, &stored); err != nil {
-			t.log.Error("usage report in the store malformed", "key", r.Key, "offset", r.Offset, "error", err)
+			t.log.Error("usage report in the store malformed", "key", r.Key, "offset", r.Position, "error", err)
 			continue
 		}
 		reports = append(reports, jayusage.Stored{Window: stored.Window, Counts: stored.Counts})
--- a/jay/jayedge/usage_test.go
+++ b/jay/jayedge/usage_test.go
@@ -57,7 +57,7 @@
 	return nil
 }
 
-func (w *usageWorld) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (w *usageWorld) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	newest := make(map[string]jaystore.Record)
 	for _, r := range w.records {
 		newest[r.Key] = r
@@ -66,14 +66,14 @@
 	for _, r := range newest {
 		list = append(list, r)
 	}
-	return list, int64(len(w.records)), nil
+	return list, jaystore.Position(len(w.records)), nil
 }
 
-func (w *usageWorld) PutAt(_ context.Context, topic jaystore.Topic, key string, value []byte, end int64) error {
-	if topic != jaystore.TopicUsage || end != int64(len(w.records)) {
+func (w *usageWorld) PutAt(_ context.Context, topic jaystore.Topic, key string, value []byte, end jaystore.Position) error {
+	if topic != jaystore.TopicUsage || end != jaystore.Position(len(w.records)) {
 		return jayerror.New("put", jaystore.KindConflict, "another end")
 	}
-	w.records = append(w.records, jaystore.Record{Key: key, Value: value, Offset: end})
+	w.records = append(w.records, jaystore.Record{Key: key, Value: value, Position: end})
 	if w.loseAnswers {
 		return jayerror.New("put", jaystore.KindUnavailable, "no answer")
 	}
--- a/jay/jayfleet/fleet.go
+++ b/jay/jayfleet/fleet.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"jayfield.example/jay/jaystore"
 )
 
 // RemovalGrace is how long after the store is available again an entry that expired during
@@ -60,7 +62,7 @@
 func (f *Fleet) Registered() []Upstream {
 	type holder struct {
 		upstream Upstream
-		since    int64
+		since    jaystore.Position
 	}
 	newest := make(map[string]holder, len(f.entries))
 	for _, e := range f.entries {
@@ -112,7 +114,7 @@
 
 // Put applies a registration of an upstream, read at an offset, as History describes. The offsets order the records
 // of an upstream.
-func (f *Fleet) Put(now time.Time, offset int64, u Upstream) Outcome {
+func (f *Fleet) Put(now time.Time, offset jaystore.Position, u Upstream) Outcome {
 	e, ok := f.entries[u.ID]
 	if !ok {
 		e = &entry{changedAt: now}
@@ -141,7 +143,7 @@
 // Remove applies the removal of an entry. During a store outage, and for the grace period
 // after it, the removal may be a mere expiry, so it takes effect only once the grace period
 // has passed.
-func (f *Fleet) Remove(now time.Time, id string, offset int64) {
+func (f *Fleet) Remove(now time.Time, id string, offset jaystore.Position) {
 	e, ok := f.entries[id]
 	if !ok {
 		return
@@ -178,8 +180,8 @@
 	return !f.availableSince.IsZero() && now.Before(f.availableSince.Add(RemovalGrace))
 }
 
-// Replace applies a snapshot up to an offset: entries that are not in it have been removed.
-func (f *Fleet) Replace(now time.Time, end int64, ids map[string]bool) {
+// Replace applies a snapshot up to a position: entries that are not in it have been removed.
+func (f *Fleet) Replace(now time.Time, end jaystore.Position, ids map[string]bool) {
 	for id := range f.entries {
 		if !ids[id] {
 			f.Remove(now, id, end-1)
--- a/jay/jayfleet/history.go
+++ b/jay/jayfleet/history.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"jayfield.example/jay/jaystore"
 )
 
 // Retention is how long a history remembers what has ended. A write without an answer may take effect
@@ -12,7 +14,7 @@
 const Retention = 15 * time.Second
 
 // none is the offset of a record that does not exist.
-const none = -1
+const none = jaystore.NoPosition
 
 // History is what the records of one ID say of its upstream. Records that come in the order of their offsets
 // give the same history even if some of them come again, and if those that Offsets leaves out do not come. So instances
@@ -28,9 +30,9 @@
 	// starts are ordered by their rank and the offset of their first registration.
 	starts []start
 	// removal is the offset of the latest removal plus one, 0 if there is none.
-	removal int64
+	removal jaystore.Position
 	// removals are the offsets of the latest removals.
-	removals []int64
+	removals []jaystore.Position
 }
 
 // maxKept bounds the starts of a history, and the records that it depends on for each of them.
@@ -39,7 +41,7 @@
 // registration is a registration that was read at an offset.
 type registration struct {
 	upstream Upstream
-	offset   int64
+	offset   jaystore.Position
 }
 
 // start is one start of an upstream.
@@ -51,7 +53,7 @@
 	// latest one that does not. Their offsets are none if there is none.
 	leaving, late registration
 	// marks are the offsets of the registrations with which the start began to count, held again, or ended a doubt.
-	marks []int64
+	marks []jaystore.Position
 	// heard is the time at which newest was read.
 	heard time.Time
 	// confirmed is set once the start counts although its start time is lower than that of an earlier one.
@@ -75,7 +77,7 @@
 )
 
 // With returns the history with a registration that was read at an offset and observed at a time, and what it changes.
-func (h History) With(now time.Time, offset int64, u Upstream) (History, Effect) {
+func (h History) With(now time.Time, offset jaystore.Position, u Upstream) (History, Effect) {
 	if len(h.starts) == 1 && h.starts[0].isRecord() && offset < h.starts[0].first.offset {
 		// The record of a snapshot comes again after those that lead to it.
 		h.starts = nil
@@ -144,7 +146,7 @@
 }
 
 // keepLatest returns the offsets with another one, without the oldest if they are too many.
-func keepLatest(offsets []int64, offset int64) []int64 {
+func keepLatest(offsets []jaystore.Position, offset jaystore.Position) []jaystore.Position {
 	return append(slices.Clone(offsets[max(0, len(offsets)+1-maxKept):]), offset)
 }
 
@@ -155,7 +157,7 @@
 }
 
 // WithRemoval returns the history with the removal of the entry.
-func (h History) WithRemoval(offset int64) History {
+func (h History) WithRemoval(offset jaystore.Position) History {
 	if offset < h.removal {
 		return h
 	}
@@ -188,7 +190,7 @@
 }
 
 // Since returns the offset at which the current start was first observed.
-func (h History) Since() int64 {
+func (h History) Since() jaystore.Position {
 	if h.IsEmpty() {
 		return none
 	}
@@ -277,7 +279,7 @@
 }
 
 // Offsets returns the offsets of the records that the history depends on, in their order.
-func (h History) Offsets() []int64 {
+func (h History) Offsets() []jaystore.Position {
 	offsets := slices.Clone(h.removals)
 	for _, s := range h.starts {
 		offsets = append(append(offsets, s.first.offset, s.newest.offset), s.marks...)
--- a/jay/jayfleet/history_test.go
+++ b/jay/jayfleet/history_test.go
@@ -8,11 +8,12 @@
 	"pgregory.net/rapid"
 
 	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jaystore"
 )
 
 // statement is a record of the registry. It is a removal if the upstream has no ID.
 type statement struct {
-	offset   int64
+	offset   jaystore.Position
 	upstream jayfleet.Upstream
 }
 
@@ -20,7 +21,7 @@
 // repeatedly and in another order.
 func statements(t *rapid.T) []statement {
 	var log []statement
-	add := func(u jayfleet.Upstream) { log = append(log, statement{int64(len(log)), u}) }
+	add := func(u jayfleet.Upstream) { log = append(log, statement{jaystore.Position(len(log)), u}) }
 	born := rapid.Permutation([]int64{4, 7, 9}).Draw(t, "start times")
 	written := make([]jayfleet.Upstream, 0, 6*len(born))
 	for _, b := range born {
@@ -60,7 +61,7 @@
 type view struct {
 	upstream   jayfleet.Upstream
 	registered bool
-	since      int64
+	since      jaystore.Position
 	doubted    bool
 }
 
@@ -118,7 +119,7 @@
 				Sequence: int64(rapid.IntRange(0, 5).Draw(t, "sequence")),
 				Leaving:  rapid.Bool().Draw(t, "leaving"),
 			}
-			outcome := f.Put(now, int64(offset), u)
+			outcome := f.Put(now, jaystore.Position(offset), u)
 			seen := make(map[string]bool)
 			for _, other := range f.Available() {
 				if other.ID == u.ID && u.Leaving && outcome != jayfleet.OutcomeLate {
@@ -134,7 +135,7 @@
 		}
 		// An upstream that registers on is available once it has for Retention, whatever came before.
 		u := jayfleet.Upstream{ID: "a", Address: "10.0.0.3:80", Born: 2, Sequence: 6}
-		for offset := int64(100); offset < 120; offset++ {
+		for offset := jaystore.Position(100); offset < 120; offset++ {
 			u.Sequence++
 			f.Put(now, offset, u)
 			f.Tick(now)
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -9,6 +9,8 @@
 
 	"jayfield.example/jay/jayfigure"
 	"jayfield.example/jay/jayprefix"
+
+	"jayfield.example/jay/jaystore"
 )
 
 // Member is the heartbeat of an entry instance: the state that it reports about itself.
@@ -42,8 +44,9 @@
 	Speeds []Speed `msgpack:"f,omitempty" json:"speeds,omitempty"`
 	// Suspects are the prompt parts that may have crashed engines, if any.
 	Suspects []Suspect `msgpack:"x,omitempty" json:"suspects,omitempty"`
-	// Mirrors hold how far the instance has read the topics of the store, if reported.
-	Mirrors map[string]Mirror `msgpack:"m,omitempty" json:"mirrors,omitempty"`
+	// Mirrors hold how far the instance has read the topics of the store, if reported. Former releases send offsets without an
+	// era under another name.
+	Mirrors map[string]Mirror `msgpack:"mp,omitempty" json:"mirrors,omitempty"`
 	// Store is the instance's contact with the store, if duties at the control API need it.
 	Store StoreContact `msgpack:"b,omitempty" json:"store,omitempty"`
 	// StoreChange is the number of changes of Store, by which the newest of several reports is known.
@@ -98,8 +101,8 @@
 
 // Mirror is how far an instance has read a topic of the store.
 type Mirror struct {
-	// Next is the offset after the last record read.
-	Next int64 `msgpack:"n" json:"next"`
+	// Next is the position after the last record read.
+	Next jaystore.Position `msgpack:"n" json:"next"`
 	// Age is the time since the last answer of the store, as of the heartbeat.
 	Age time.Duration `msgpack:"a" json:"age"`
 }
--- a/jay/jayplace/leave_test.go
+++ b/jay/jayplace/leave_test.go
@@ -9,6 +9,7 @@
 
 	"jayfield.example/jay/jayfleet"
 	"jayfield.example/jay/jayplace"
+	"jayfield.example/jay/jaystore"
 )
 
 // Guards against work, hand-overs and fetches of prefixes that an engine cannot finish before it ends: by the
@@ -17,11 +18,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const count = 6
 		fleet, table := jayfleet.New(), jayplace.NewTable(jayplace.Location{Zone: "z0", Region: "r"}, map[string]string{"z0": "r", "z1": "r"})
-		now, offset, leaving := start, int64(0), make(map[string]bool)
+		now, offset, leaving := start, jaystore.Position(0), make(map[string]bool)
 		entries := make(map[string]jayfleet.Upstream)
 		put := func(u jayfleet.Upstream) {
 			offset++
-			u.Sequence = offset
+			u.Sequence = int64(offset)
 			entries[u.ID] = u
 			fleet.Put(time.Time{}, offset, u)
 			table.Configure(fleet.Available())
--- a/jay/jayplace/place_test.go
+++ b/jay/jayplace/place_test.go
@@ -9,6 +9,7 @@
 	"jayfield.example/jay/jayfleet"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jayplace"
+	"jayfield.example/jay/jaystore"
 )
 
 var start = time.Unix(1000, 0)
@@ -101,7 +102,7 @@
 	}
 	const engines, prefixes = 8, 200
 	for n := range engines {
-		fleet.Put(time.Time{}, int64(n), entry(n))
+		fleet.Put(time.Time{}, jaystore.Position(n), entry(n))
 	}
 	homes := func() map[string]string {
 		table.Configure(fleet.Available())
@@ -121,7 +122,7 @@
 	for n := 0; n < engines; n += 2 {
 		u := entry(n)
 		u.Leaving, u.LeavesIn, u.Sequence = true, 2*time.Second, 1
-		fleet.Put(time.Time{}, int64(engines+n), u)
+		fleet.Put(time.Time{}, jaystore.Position(engines+n), u)
 		reclaimed[u.ID] = true
 	}
 	for prefix, home := range homes() {
--- a/jay/jayroster/collect_test.go
+++ b/jay/jayroster/collect_test.go
@@ -49,11 +49,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		list = append(list, jaystore.Record{Key: self.Name, Value: value, Offset: int64(n)})
+		list = append(list, jaystore.Record{Key: self.Name, Value: value, Position: jaystore.Position(n)})
 		instances = append(instances, i)
 	}
 	for _, i := range instances {
-		i.roster.Replace(t.Context(), list, int64(count))
+		i.roster.Replace(t.Context(), list, jaystore.Position(count))
 	}
 	return network, instances
 }
--- a/jay/jayroster/control_test.go
+++ b/jay/jayroster/control_test.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jayusage"
 )
 
@@ -103,7 +104,7 @@
 		self.Work = append(self.Work, jaymember.UpstreamWork{Upstream: hash(upstream), Work: w})
 	}
 	self.Mirrors = make(map[string]jaymember.Mirror)
-	for topic, next := range map[string]int64{"policy": 40, "upstreams": 9000, "members": 2000} {
+	for topic, next := range map[string]jaystore.Position{"policy": 40, "upstreams": 9000, "members": 2000} {
 		self.Mirrors[topic] = jaymember.Mirror{Next: next, Age: 200 * time.Millisecond}
 	}
 }
--- a/jay/jayroster/entry.go
+++ b/jay/jayroster/entry.go
@@ -42,7 +42,7 @@
 }
 
 // setRegistered records the offset of the instance's entry.
-func (r *Roster) setRegistered(ctx context.Context, offset int64) {
+func (r *Roster) setRegistered(ctx context.Context, offset jaystore.Position) {
 	err := r.owner.Send(ctx, func(s *state) {
 		s.registeredAt = offset
 		r.checkEntry(s)
@@ -94,7 +94,7 @@
 }
 
 // finishRemoval records the result of a removal.
-func (r *Roster) finishRemoval(s *state, entry jayexpiry.Instance, end int64, err error) {
+func (r *Roster) finishRemoval(s *state, entry jayexpiry.Instance, end jaystore.Position, err error) {
 	attributes := []any{"instance", entry.Name, "incarnation", entry.Incarnation, "zone", entry.Zone, "end", end}
 	switch {
 	case err == nil:
--- a/jay/jayroster/entry_test.go
+++ b/jay/jayroster/entry_test.go
@@ -30,7 +30,7 @@
 	mu      sync.Mutex
 	records []jaystore.Record
 	// first is the oldest offset that can still be read.
-	first   int64
+	first   jaystore.Position
 	changed chan struct{}
 	away    atomic.Bool
 	writes  int
@@ -39,9 +39,9 @@
 // keep is how long the history of the topic is kept.
 const keep = 20 * time.Second
 
-func (l *memberLog) put(key string, value []byte) int64 {
-	offset := int64(len(l.records))
-	l.records = append(l.records, jaystore.Record{Key: key, Value: value, Offset: offset})
+func (l *memberLog) put(key string, value []byte) jaystore.Position {
+	offset := jaystore.Position(len(l.records))
+	l.records = append(l.records, jaystore.Record{Key: key, Value: value, Position: offset})
 	l.writes++
 	close(l.changed)
 	l.changed = make(chan struct{})
@@ -54,7 +54,7 @@
 }
 
 // newest returns the newest record of each key and the end of the topic.
-func (l *memberLog) newest() (map[string]jaystore.Record, int64) {
+func (l *memberLog) newest() (map[string]jaystore.Record, jaystore.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	newest := make(map[string]jaystore.Record)
@@ -64,7 +64,7 @@
 			delete(newest, r.Key)
 		}
 	}
-	return newest, int64(len(l.records))
+	return newest, jaystore.Position(len(l.records))
 }
 
 // entries returns the listed incarnations by name.
@@ -110,7 +110,7 @@
 	return jayerror.New("call", jaystore.KindUnavailable, "no answer")
 }
 
-func (i *memberInstance) Put(ctx context.Context, _ jaystore.Topic, key string, value []byte) (int64, error) {
+func (i *memberInstance) Put(ctx context.Context, _ jaystore.Topic, key string, value []byte) (jaystore.Position, error) {
 	if err := i.reach(ctx); err != nil {
 		return 0, err
 	}
@@ -119,20 +119,20 @@
 	return i.log.put(key, value), nil
 }
 
-func (i *memberInstance) PutAt(ctx context.Context, _ jaystore.Topic, key string, value []byte, end int64) error {
+func (i *memberInstance) PutAt(ctx context.Context, _ jaystore.Topic, key string, value []byte, end jaystore.Position) error {
 	if err := i.reach(ctx); err != nil {
 		return err
 	}
 	i.log.mu.Lock()
 	defer i.log.mu.Unlock()
-	if end != int64(len(i.log.records)) {
+	if end != jaystore.Position(len(i.log.records)) {
 		return jayerror.Newf("put", jaystore.KindConflict, "topic ends at %d, not at %d", len(i.log.records), end)
 	}
 	i.log.put(key, value)
 	return nil
 }
 
-func (i *memberInstance) Newest(ctx context.Context, _ jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (i *memberInstance) Newest(ctx context.Context, _ jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	if err := i.reach(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -144,14 +144,14 @@
 	return records, end, nil
 }
 
-func (i *memberInstance) Read(ctx context.Context, _ jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (i *memberInstance) Read(ctx context.Context, _ jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	deadline := time.After(9 * time.Second)
 	for {
 		if err := i.reach(ctx); err != nil {
 			return nil, from, err
 		}
 		i.log.mu.Lock()
-		records, end, first, changed := slices.Clone(i.log.records[from:]), int64(len(i.log.records)), i.log.first, i.log.changed
+		records, end, first, changed := slices.Clone(i.log.records[from:]), jaystore.Position(len(i.log.records)), i.log.first, i.log.changed
 		i.log.mu.Unlock()
 		if from < first {
 			return nil, from, jayerror.New("read", jaystore.KindExpired, "records have expired")
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -10,6 +10,8 @@
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jaypeer"
+
+	"jayfield.example/jay/jaystore"
 )
 
 // digest is the message that two instances exchange.
@@ -23,8 +25,8 @@
 	Self jaymember.Member `msgpack:"s"`
 	// ListEnd is the offset up to which the newest list of instances is complete that the sender knows
 	// of, and Mesh the kind of mesh that follows from it. Instances of a former release report neither.
-	ListEnd int64    `msgpack:"l,omitempty"`
-	Mesh    meshKind `msgpack:"m,omitempty"`
+	ListEnd jaystore.Position `msgpack:"l,omitempty"`
+	Mesh    meshKind          `msgpack:"m,omitempty"`
 	// Version is the version of the sender's ledger up to which Changes lead, Ack that of the
 	// receiver's ledger up to which the sender has merged its changes.
 	Version uint64         `msgpack:"v,omitempty"`
--- a/jay/jayroster/fanout_test.go
+++ b/jay/jayroster/fanout_test.go
@@ -42,24 +42,26 @@
 func (p *policyTopic) put(value []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.records = append(p.records, jaystore.Record{Key: "policy", Value: value, Offset: int64(len(p.records))})
+	p.records = append(p.records, jaystore.Record{Key: "policy", Value: value, Position: jaystore.Position(len(p.records))})
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
-func (*policyTopic) Put(context.Context, jaystore.Topic, string, []byte) (int64, error) {
+func (*policyTopic) Put(context.Context, jaystore.Topic, string, []byte) (jaystore.Position, error) {
 	return 0, nil
 }
 
-func (*policyTopic) PutAt(context.Context, jaystore.Topic, string, []byte, int64) error { return nil }
+func (*policyTopic) PutAt(context.Context, jaystore.Topic, string, []byte, jaystore.Position) error {
+	return nil
+}
 
-func (p *policyTopic) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (p *policyTopic) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	return p.Read(ctx, topic, 0, nil)
 }
 
-func (p *policyTopic) Read(ctx context.Context, _ jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (p *policyTopic) Read(ctx context.Context, _ jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	p.mu.Lock()
-	end, changed := int64(len(p.records)), p.changed
+	end, changed := jaystore.Position(len(p.records)), p.changed
 	p.mu.Unlock()
 	if interrupt != nil && end <= from {
 		select {
@@ -72,7 +74,7 @@
 		}
 	}
 	p.mu.Lock()
-	unread := p.records[min(from, int64(len(p.records))):]
+	unread := p.records[min(from, jaystore.Position(len(p.records))):]
 	p.mu.Unlock()
 	size, count := 0, 0
 	for _, r := range unread {
@@ -87,7 +89,7 @@
 	case <-ctx.Done():
 		return nil, from, ctx.Err()
 	}
-	return unread[:count], from + int64(count), nil
+	return unread[:count], from + jaystore.Position(count), nil
 }
 
 // ownStore is the store as one instance reaches it.
@@ -97,11 +99,11 @@
 	cut atomic.Bool
 }
 
-func (s *ownStore) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (s *ownStore) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	return s.Read(ctx, topic, 0, nil)
 }
 
-func (s *ownStore) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (s *ownStore) Read(ctx context.Context, topic jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	if s.cut.Load() {
 		select {
 		case <-time.After(2 * s.wait):
@@ -139,7 +141,7 @@
 	m.Config = i.version
 }
 
-func (i *policyInstance) Replace(ctx context.Context, records []jaystore.Record, _ int64) {
+func (i *policyInstance) Replace(ctx context.Context, records []jaystore.Record, _ jaystore.Position) {
 	i.Apply(ctx, records)
 }
 
@@ -147,7 +149,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, r := range records {
-		for ; i.version < r.Offset; i.version++ {
+		for ; i.version < int64(r.Position); i.version++ {
 			i.appliedAt[i.version+1] = time.Now()
 		}
 	}
@@ -203,7 +205,7 @@
 		z.instances = append(z.instances, i)
 	}
 	for _, i := range z.instances {
-		i.roster.Replace(ctx, list, int64(count))
+		i.roster.Replace(ctx, list, jaystore.Position(count))
 		mirror := jaystore.NewMirror(i)
 		reader := i.roster.TopicReader(&i.store, jaystore.TopicPolicy, mirror, fresh.MaxAge, 0)
 		i.mu.Lock()
--- a/jay/jayroster/fetch.go
+++ b/jay/jayroster/fetch.go
@@ -37,7 +37,7 @@
 // fetched is what another instance supplied.
 type fetched struct {
 	records []jaystore.Record
-	next    int64
+	next    jaystore.Position
 	// at is when the store last answered the other instance, at the latest.
 	at     time.Time
 	result fetchResult
@@ -46,12 +46,12 @@
 }
 
 // errExpired returns the error that makes a follower read the records of all keys.
-func errExpired(from int64) error {
+func errExpired(from jaystore.Position) error {
 	return jayerror.Newf("fetch", jaystore.KindExpired, "removals since offset %d are not known to the other instance", from)
 }
 
 // fetch requests records from the instance at an address.
-func (t *TopicReader) fetch(ctx context.Context, address string, from int64, bound time.Duration) fetched {
+func (t *TopicReader) fetch(ctx context.Context, address string, from jaystore.Position, bound time.Duration) fetched {
 	start := time.Now()
 	request := mirrorRequest{Topic: t.topic, From: from, Receiver: t.roster.self.Incarnation, Peer: t.roster.self.Peer}
 	reply, err := t.ask(ctx, address, request, bound)
@@ -77,6 +77,7 @@
 // the topic: a large reply delays no heartbeats and no records of other topics.
 func (t *TopicReader) ask(ctx context.Context, address string, request mirrorRequest, bound time.Duration) (mirrorReply, error) {
 	var reply mirrorReply
+	request.Version = mirrorVersion
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return reply, jayerror.Wrap("fetch", KindFormat, err)
@@ -89,11 +90,14 @@
 	if err := msgpack.Unmarshal(body, &reply); err != nil {
 		return reply, jayerror.Wrap("fetch", KindFormat, err)
 	}
+	if reply.Version != mirrorVersion {
+		return reply, jayerror.Newf("fetch", KindFormat, "reply of version %d, not %d", reply.Version, mirrorVersion)
+	}
 	return reply, nil
 }
 
 // confirm reports to the instance at an address that its transfer has ended.
-func (t *TopicReader) confirm(address string, next int64) {
+func (t *TopicReader) confirm(address string, next jaystore.Position) {
 	t.roster.group.Go(func(ctx context.Context) {
 		request := mirrorRequest{Topic: t.topic, From: next, Receiver: t.roster.self.Incarnation, Peer: t.roster.self.Peer, Received: true}
 		if _, err := t.ask(ctx, address, request, jaypeer.SilentBound); err != nil {
@@ -104,7 +108,7 @@
 
 // fetchFallback requests records from another instance while the store does not answer
 // this one: the store may reject single instances.
-func (t *TopicReader) fetchFallback(ctx context.Context, from int64) (fetched, bool) {
+func (t *TopicReader) fetchFallback(ctx context.Context, from jaystore.Position) (fetched, bool) {
 	fallback, ok := t.roster.fallback()
 	if !ok || ctx.Err() != nil {
 		return fetched{}, false
@@ -121,7 +125,7 @@
 
 // supplier returns the address of an instance of the zone that has read the topic as far as a
 // position: a random one of those that report so and of those that a busy supplier named.
-func (t *TopicReader) supplier(p topicPosition, from int64) string {
+func (t *TopicReader) supplier(p topicPosition, from jaystore.Position) string {
 	addresses := append([]string{p.peer}, t.roster.positions.holders(t.topic, p.next)...)
 	if t.holdersFrom == from {
 		addresses = append(addresses, t.holders...)
--- a/jay/jayroster/history.go
+++ b/jay/jayroster/history.go
@@ -15,21 +15,21 @@
 	perKey int
 	// from is where the history after the latest snapshot begins. The store keeps records for a time; the
 	// history was too long for that as often as halvings states.
-	from     int64
+	from     jaystore.Position
 	halvings int
 }
 
 // begin returns where to continue after a snapshot of a number of keys up to an offset.
-func (h *history) begin(keys int, end int64) int64 {
+func (h *history) begin(keys int, end jaystore.Position) jaystore.Position {
 	if h.perKey == 0 {
 		return end
 	}
-	h.from = max(0, end-int64(max(minHistory, h.perKey*keys)>>h.halvings))
+	h.from = end.Before(max(minHistory, h.perKey*keys) >> h.halvings)
 	return h.from
 }
 
 // observe processes the result of a read of the store.
-func (h *history) observe(from int64, err error) {
+func (h *history) observe(from jaystore.Position, err error) {
 	switch {
 	case err == nil:
 		h.halvings = 0
--- a/jay/jayroster/history_test.go
+++ b/jay/jayroster/history_test.go
@@ -18,11 +18,11 @@
 // historyStore is a store with a log of one key, whose records before an offset have expired.
 type historyStore struct {
 	registry
-	first, page int64
+	first, page jaystore.Position
 }
 
-func (s *historyStore) Read(_ context.Context, _ jaystore.Topic, from int64, _ <-chan struct{}) ([]jaystore.Record, int64, error) {
-	switch end := min(from+s.page, int64(len(s.records))); {
+func (s *historyStore) Read(_ context.Context, _ jaystore.Topic, from jaystore.Position, _ <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
+	switch end := min(from+s.page, jaystore.Position(len(s.records))); {
 	case from < s.first:
 		return nil, 0, jayerror.New("read", jaystore.KindExpired, "expired")
 	default:
@@ -30,23 +30,23 @@
 	}
 }
 
-func (s *historyStore) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
-	end := int64(len(s.records))
+func (s *historyStore) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
+	end := jaystore.Position(len(s.records))
 	return slices.Clone(s.records[end-1:]), end, nil
 }
 
 // collector is a consumer that keeps the offsets of all records.
 type collector struct {
-	offsets []int64
+	offsets []jaystore.Position
 }
 
-func (c *collector) Replace(ctx context.Context, records []jaystore.Record, _ int64) {
+func (c *collector) Replace(ctx context.Context, records []jaystore.Record, _ jaystore.Position) {
 	c.Apply(ctx, records)
 }
 
 func (c *collector) Apply(_ context.Context, records []jaystore.Record) {
 	for _, r := range records {
-		c.offsets = append(c.offsets, r.Offset)
+		c.offsets = append(c.offsets, r.Position)
 	}
 }
 
@@ -62,7 +62,7 @@
 		perKey int
 		store  *historyStore
 		// from is the offset of the first record that is read after the snapshot.
-		from int64
+		from jaystore.Position
 	}{
 		"without":                {0, &historyStore{page: end}, end},
 		"for each key":           {150, &historyStore{page: end}, end - 150},
@@ -90,7 +90,7 @@
 			reader := roster.TopicReader(test.store, jaystore.TopicUpstreams, jaystore.NewMirror(c), time.Second, time.Nanosecond).WithHistory(test.perKey)
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
-			next := int64(-1)
+			next := jaystore.Position(-1)
 			for next < end && ctx.Err() == nil {
 				_, to, err := reader.Newest(ctx, jaystore.TopicUpstreams)
 				if err != nil {
@@ -104,7 +104,7 @@
 					}
 				}
 			}
-			want := make([]int64, 0, end)
+			want := make([]jaystore.Position, 0, end)
 			for offset := test.from; offset < end; offset++ {
 				want = append(want, offset)
 			}
--- a/jay/jayroster/instance_test.go
+++ b/jay/jayroster/instance_test.go
@@ -39,5 +39,5 @@
 		Name: self.Name, Sort: jaylist.SortEntry, Incarnation: self.Incarnation, Address: self.Address, Peer: self.Peer,
 		Region: self.Region, Zone: self.Zone, State: jaylist.StateLive,
 	})
-	return roster, jaystore.Record{Key: self.Name, Value: value, Offset: int64(n)}
+	return roster, jaystore.Record{Key: self.Name, Value: value, Position: jaystore.Position(n)}
 }
--- a/jay/jayroster/list.go
+++ b/jay/jayroster/list.go
@@ -10,14 +10,14 @@
 )
 
 // Replace sets the list of instances from the newest records of the store.
-func (r *Roster) Replace(ctx context.Context, records []jaystore.Record, end int64) {
+func (r *Roster) Replace(ctx context.Context, records []jaystore.Record, end jaystore.Position) {
 	r.applyList(ctx, records, end, true)
 }
 
 // Apply applies changes of the list of instances.
 func (r *Roster) Apply(ctx context.Context, records []jaystore.Record) {
 	if len(records) > 0 {
-		r.applyList(ctx, records, records[len(records)-1].Offset+1, false)
+		r.applyList(ctx, records, records[len(records)-1].Position+1, false)
 	}
 }
 
@@ -27,7 +27,7 @@
 // Available does nothing, since the follower delivers the list itself.
 func (*Roster) Available(context.Context) {}
 
-func (r *Roster) applyList(ctx context.Context, records []jaystore.Record, end int64, replace bool) {
+func (r *Roster) applyList(ctx context.Context, records []jaystore.Record, end jaystore.Position, replace bool) {
 	err := r.owner.Send(ctx, func(s *state) {
 		if replace {
 			clear(s.listed)
@@ -56,7 +56,7 @@
 	}
 	var instance jaylist.Instance
 	if err := msgpack.Unmarshal(record.Value, &instance); err != nil {
-		r.log.Warn("list entry not decoded", "key", record.Key, "offset", record.Offset, "error", err)
+		r.log.Warn("list entry not decoded", "key", record.Key, "offset", record.Position, "error", err)
 		return
 	}
 	s.listed[record.Key] = instance
--- a/jay/jayroster/mesh_test.go
+++ b/jay/jayroster/mesh_test.go
@@ -11,6 +11,7 @@
 
 	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
+	"jayfield.example/jay/jaystore"
 )
 
 // node is the state of one instance in a model of the exchanges.
@@ -249,7 +250,7 @@
 // Guards against a copy that counts as fresh since its message was delayed.
 func TestFreshestPosition(t *testing.T) {
 	now := time.Unix(1000, 0)
-	at := func(sentAgo, age time.Duration, next int64) position {
+	at := func(sentAgo, age time.Duration, next jaystore.Position) position {
 		return position{peer: fmt.Sprint(sentAgo), sentAt: now.Add(-sentAgo), mirrors: map[string]jaymember.Mirror{"policy": {Next: next, Age: age}}}
 	}
 	tests := map[string]struct {
--- a/jay/jayroster/mirrorserver.go
+++ b/jay/jayroster/mirrorserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,10 +23,19 @@
 	compressionWindow = 512 << 10
 )
 
+const (
+	// formerVersion is the version of requests and replies of a release whose positions were offsets without an era. Requests of it
+	// are answered in the same way, replies of it are not used.
+	formerVersion = 0
+	// mirrorVersion is the version of requests and replies whose positions have an era.
+	mirrorVersion = 2
+)
+
 // mirrorRequest asks for the records of a topic from an offset on.
 type mirrorRequest struct {
-	Topic jaystore.Topic `msgpack:"t"`
-	From  int64          `msgpack:"f"`
+	Version int               `msgpack:"v"`
+	Topic   jaystore.Topic    `msgpack:"t"`
+	From    jaystore.Position `msgpack:"f"`
 	// Receiver is the incarnation of the requesting instance; instances that set it accept
 	// compressed records and replies without records. Peer is the address at which it serves
 	// the records itself once it has received them.
@@ -37,12 +47,13 @@
 
 // mirrorReply is the reply to a mirrorRequest.
 type mirrorReply struct {
+	Version int               `msgpack:"v"`
 	Records []jaystore.Record `msgpack:"r"`
 	// Compressed holds the records if they are compressed.
 	Compressed []byte `msgpack:"z,omitempty"`
 	// Next is the offset after all that the instance has read, -1 before its first read and
 	// with Expired or Busy.
-	Next int64 `msgpack:"n"`
+	Next jaystore.Position `msgpack:"n"`
 	// Age is the time since the last answer of the store that the records reflect.
 	Age time.Duration `msgpack:"a,omitempty"`
 	// Expired is set if the instance may not know all removals since the offset: the receiver
@@ -83,17 +94,26 @@
 	if err := msgpack.Unmarshal(body, &req); err != nil {
 		return nil, jayerror.Wrap("mirror", KindFormat, err)
 	}
+	if req.Version != mirrorVersion && req.Version != formerVersion {
+		return nil, jayerror.Newf("mirror", KindFormat, "request of version %d, not %d", req.Version, mirrorVersion)
+	}
 	if req.Received {
 		s.transfers.end(transfer{receiver: req.Receiver, topic: req.Topic}, holder{peer: req.Peer, next: req.From})
-		return s.encode(mirrorReply{Next: req.From})
+		return s.encode(mirrorReply{Version: mirrorVersion, Next: req.From})
 	}
 	mirror, ok := s.mirrors.Load(req.Topic)
 	if !ok {
 		return nil, jayerror.Newf("mirror", KindFormat, "topic %q is not mirrored", req.Topic)
 	}
+	if req.Version == formerVersion && req.From >= 0 {
+		req.From = jaystore.NewPosition(max(0, mirror.Next().Era()), req.From.Offset())
+	}
 	records, next, err := mirror.From(req.From)
 	if jayerror.Is(err, jaystore.KindExpired) {
-		return s.encode(mirrorReply{Next: -1, Expired: true})
+		return s.encode(mirrorReply{Version: mirrorVersion, Next: -1, Expired: true})
+	}
+	if req.Version == formerVersion {
+		records, next = withoutEra(records, next)
 	}
 	_, readAt := mirror.Position()
 	data, err := s.reply(req, records, next, time.Since(readAt))
@@ -106,9 +126,21 @@
 	return data, nil
 }
 
+// withoutEra returns records and the position after them as offsets of that position's era. Records of earlier eras come first.
+func withoutEra(records []jaystore.Record, next jaystore.Position) ([]jaystore.Record, jaystore.Position) {
+	if next < 0 {
+		return records, next
+	}
+	records = slices.Clone(records)
+	for n, r := range records {
+		records[n].Position = max(0, r.Position-jaystore.NewPosition(next.Era(), 0))
+	}
+	return records, jaystore.Position(next.Offset())
+}
+
 // reply returns an encoded reply with records, or without if the receiver has to wait for its transfer.
-func (s *mirrorServer) reply(req mirrorRequest, records []jaystore.Record, next int64, age time.Duration) ([]byte, error) {
-	reply := mirrorReply{Records: records, Next: next, Age: age}
+func (s *mirrorServer) reply(req mirrorRequest, records []jaystore.Record, next jaystore.Position, age time.Duration) ([]byte, error) {
+	reply := mirrorReply{Version: mirrorVersion, Records: records, Next: next, Age: age}
 	if req.Receiver == "" {
 		return s.encode(reply)
 	}
@@ -120,7 +152,7 @@
 		reply.Records, reply.Compressed = nil, data
 	}
 	if len(reply.Compressed) >= largeReplyBytes && !s.transfers.begin(time.Now(), transfer{receiver: req.Receiver, topic: req.Topic}) {
-		return s.encode(mirrorReply{Next: -1, Busy: true, Holders: s.transfers.holdersOf(req.Topic, next)})
+		return s.encode(mirrorReply{Version: mirrorVersion, Next: -1, Busy: true, Holders: s.transfers.holdersOf(req.Topic, next)})
 	}
 	return s.encode(reply)
 }
@@ -146,7 +178,7 @@
 func hashRecords(records []jaystore.Record) uint64 {
 	digest := xxhash.New()
 	for _, r := range records {
-		_, _ = digest.Write(binary.BigEndian.AppendUint64([]byte(r.Key), uint64(r.Offset))) //nolint:gosec // Any bits will do.
+		_, _ = digest.Write(binary.BigEndian.AppendUint64([]byte(r.Key), uint64(r.Position))) //nolint:gosec // Any bits will do.
 		_, _ = digest.Write([]byte{byte(min(len(r.Value), 1))})
 	}
 	return digest.Sum64()
--- a/jay/jayroster/polledreader.go
+++ b/jay/jayroster/polledreader.go
@@ -16,7 +16,7 @@
 // readPolled returns records of a topic that is polled, or none once the copy of this instance
 // has been confirmed for some time. The age of the copy is bounded, whoever does not answer: it is
 // that of the zone's freshest copy as long as this is below the limit, and above it the store is read.
-func (t *TopicReader) readPolled(ctx context.Context, from int64) ([]jaystore.Record, int64, error) {
+func (t *TopicReader) readPolled(ctx context.Context, from jaystore.Position) ([]jaystore.Record, jaystore.Position, error) {
 	changed := t.roster.positions.onChange()
 	p, ok := t.zonePosition()
 	switch {
@@ -57,7 +57,7 @@
 
 // readStore reads the store. If it does not answer soon, another instance is asked too, and what
 // arrives first is returned.
-func (t *TopicReader) readStore(ctx context.Context, from int64) ([]jaystore.Record, int64, error) {
+func (t *TopicReader) readStore(ctx context.Context, from jaystore.Position) ([]jaystore.Record, jaystore.Position, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	start, answers := time.Now(), make(chan stored, 1)
--- a/jay/jayroster/position.go
+++ b/jay/jayroster/position.go
@@ -53,12 +53,20 @@
 // topicPosition is the position of one instance in one topic.
 type topicPosition struct {
 	peer string
-	next int64
+	next jaystore.Position
 	// at is when the store last answered, at the latest.
 	at time.Time
 }
 
-// freshest returns the position in a topic for which the store answered last, if that is at most
+// precedes reports whether the position is of a later era than another one or, in the same era, fresher.
+func (p topicPosition) precedes(other topicPosition) bool {
+	if p.next.Era() != other.next.Era() {
+		return p.next.Era() > other.next.Era()
+	}
+	return p.at.After(other.at)
+}
+
+// freshest returns the position of the latest era in a topic for which the store answered last, if that is at most
 // maxAge ago.
 func (p *positions) freshest(now time.Time, topic jaystore.Topic, maxAge time.Duration) (topicPosition, bool) {
 	p.mu.Lock()
@@ -69,15 +77,16 @@
 		if !ok || mirror.Next < 0 || now.Sub(other.sentAt) > maxPositionAge {
 			continue
 		}
-		if at := other.sentAt.Add(-mirror.Age); at.After(best.at) {
-			best = topicPosition{peer: other.peer, next: mirror.Next, at: at}
+		known := topicPosition{peer: other.peer, next: mirror.Next, at: other.sentAt.Add(-mirror.Age)}
+		if best.peer == "" || known.precedes(best) {
+			best = known
 		}
 	}
 	return best, best.peer != "" && now.Sub(best.at) <= maxAge
 }
 
 // holders returns the addresses of the instances that have read a topic at least up to an offset.
-func (p *positions) holders(topic jaystore.Topic, next int64) []string {
+func (p *positions) holders(topic jaystore.Topic, next jaystore.Position) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var peers []string
--- a/jay/jayroster/removal_test.go
+++ b/jay/jayroster/removal_test.go
@@ -51,7 +51,7 @@
 	z.running[n] = i
 	for _, other := range z.running {
 		if other != nil {
-			other.roster.Replace(ctx, z.list, int64(len(z.list)))
+			other.roster.Replace(ctx, z.list, jaystore.Position(len(z.list)))
 		}
 	}
 	mirror := jaystore.NewMirror(i)
--- a/jay/jayroster/roster_test.go
+++ b/jay/jayroster/roster_test.go
@@ -36,21 +36,21 @@
 	}
 }
 
-func (s *store) Put(_ context.Context, _ jaystore.Topic, key string, value []byte) (int64, error) {
+func (s *store) Put(_ context.Context, _ jaystore.Topic, key string, value []byte) (jaystore.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	offset := int64(len(s.records))
-	s.records = append(s.records, jaystore.Record{Key: key, Value: value, Offset: offset})
+	offset := jaystore.Position(len(s.records))
+	s.records = append(s.records, jaystore.Record{Key: key, Value: value, Position: offset})
 	return offset, nil
 }
 
-func (s *store) PutAt(_ context.Context, _ jaystore.Topic, key string, value []byte, end int64) error {
+func (s *store) PutAt(_ context.Context, _ jaystore.Topic, key string, value []byte, end jaystore.Position) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if end != int64(len(s.records)) {
+	if end != jaystore.Position(len(s.records)) {
 		return jayerror.Newf("put", jaystore.KindConflict, "topic ends at %d, not at %d", len(s.records), end)
 	}
-	s.records = append(s.records, jaystore.Record{Key: key, Value: value, Offset: end})
+	s.records = append(s.records, jaystore.Record{Key: key, Value: value, Position: end})
 	return nil
 }
 
@@ -64,16 +64,16 @@
 	name string
 }
 
-func (r *reader) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (r *reader) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.rejected[r.name] {
 		return nil, 0, jayerror.New("newest", jaystore.KindUnavailable, "status 503")
 	}
-	return append([]jaystore.Record{}, r.records...), int64(len(r.records)), nil
+	return append([]jaystore.Record{}, r.records...), jaystore.Position(len(r.records)), nil
 }
 
-func (r *reader) Read(_ context.Context, _ jaystore.Topic, from int64, _ <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (r *reader) Read(_ context.Context, _ jaystore.Topic, from jaystore.Position, _ <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	time.Sleep(20 * time.Millisecond)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -81,7 +81,7 @@
 	if r.rejected[r.name] {
 		return nil, 0, jayerror.New("read", jaystore.KindUnavailable, "status 503")
 	}
-	return append([]jaystore.Record{}, r.records[from:]...), int64(len(r.records)), nil
+	return append([]jaystore.Record{}, r.records[from:]...), jaystore.Position(len(r.records)), nil
 }
 
 // source marks an instance as ready in its heartbeat.
@@ -219,7 +219,7 @@
 		return len(s.reads) == 1 && s.reads["i0"] > 0
 	})
 	s.mu.Lock()
-	end := int64(len(s.records))
+	end := jaystore.Position(len(s.records))
 	s.mu.Unlock()
 	if _, _, err := other.reader.Read(t.Context(), jaystore.TopicMembers, end, nil); err != nil {
 		t.Fatal(err)
--- a/jay/jayroster/staleness_test.go
+++ b/jay/jayroster/staleness_test.go
@@ -44,30 +44,34 @@
 func (r *registry) append(id string, value []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.records = append(r.records, jaystore.Record{Key: id, Value: value, Offset: int64(len(r.records))})
+	r.records = append(r.records, jaystore.Record{Key: id, Value: value, Position: jaystore.Position(len(r.records))})
 }
 
-func (*registry) Put(context.Context, jaystore.Topic, string, []byte) (int64, error) { return 0, nil }
+func (*registry) Put(context.Context, jaystore.Topic, string, []byte) (jaystore.Position, error) {
+	return 0, nil
+}
 
-func (*registry) PutAt(context.Context, jaystore.Topic, string, []byte, int64) error { return nil }
+func (*registry) PutAt(context.Context, jaystore.Topic, string, []byte, jaystore.Position) error {
+	return nil
+}
 
 // Newest returns the newest record of each key, without those of removed keys.
-func (r *registry) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (r *registry) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	records, end, err := r.Read(ctx, topic, 0, nil)
 	newest := make(map[string]jaystore.Record)
 	for _, record := range records {
 		newest[record.Key] = record
 	}
 	return slices.DeleteFunc(records, func(record jaystore.Record) bool {
-		return newest[record.Key].Offset != record.Offset || len(record.Value) == 0
+		return newest[record.Key].Position != record.Position || len(record.Value) == 0
 	}), end, err
 }
 
-func (r *registry) Read(_ context.Context, _ jaystore.Topic, from int64, _ <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (r *registry) Read(_ context.Context, _ jaystore.Topic, from jaystore.Position, _ <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	time.Sleep(storeDelay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]jaystore.Record{}, r.records[min(from, int64(len(r.records))):]...), int64(len(r.records)), nil
+	return append([]jaystore.Record{}, r.records[min(from, jaystore.Position(len(r.records))):]...), jaystore.Position(len(r.records)), nil
 }
 
 // registryReader is the registry as one instance reaches it.
@@ -77,14 +81,14 @@
 	cut atomic.Bool
 }
 
-func (r *registryReader) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (r *registryReader) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	if err := r.reach(ctx); err != nil {
 		return nil, 0, err
 	}
 	return r.registry.Newest(ctx, topic)
 }
 
-func (r *registryReader) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (r *registryReader) Read(ctx context.Context, topic jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	if err := r.reach(ctx); err != nil {
 		return nil, from, err
 	}
@@ -123,7 +127,7 @@
 	m.Config, m.Leaving = 1, i.leaving
 }
 
-func (i *registryInstance) Replace(ctx context.Context, records []jaystore.Record, _ int64) {
+func (i *registryInstance) Replace(ctx context.Context, records []jaystore.Record, _ jaystore.Position) {
 	i.Apply(ctx, records)
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -185,7 +189,7 @@
 		z.instances = append(z.instances, i)
 	}
 	for _, i := range z.instances {
-		i.roster.Replace(ctx, list, int64(count))
+		i.roster.Replace(ctx, list, jaystore.Position(count))
 		mirror := jaystore.NewMirror(i)
 		reader := i.roster.TopicReader(i.reader, jaystore.TopicUpstreams, mirror, 7*drainTime/10, 36*drainTime/100)
 		follower := jaystore.NewFollower(reader, jaystore.TopicUpstreams, mirror, 250*time.Millisecond, log)
--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -8,6 +8,8 @@
 	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jayusage"
+
+	"jayfield.example/jay/jaystore"
 )
 
 // state is accessed only by the owner goroutine.
@@ -16,7 +18,7 @@
 	listed map[string]jaylist.Instance
 	// listEnd is the offset up to which listed is complete, registeredAt that of the own entry or
 	// notRegistered, refusedEnd the listEnd of the latest removal that the store refused.
-	listEnd, registeredAt, refusedEnd int64
+	listEnd, registeredAt, refusedEnd jaystore.Position
 	expiry                            *jayexpiry.Table
 	ledger                            *ledger
 	// peers holds the state of the exchanges, by the address of the other instance.
@@ -53,7 +55,7 @@
 
 // listReport is the kind of mesh that follows from the store's list up to an offset.
 type listReport struct {
-	end  int64
+	end  jaystore.Position
 	mesh meshKind
 }
 
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -37,10 +37,12 @@
 	pollWait time.Duration
 	// history is the part of the topic that is read again after a snapshot of the store.
 	history history
+	// refused is set if the store does not have the records at the own position.
+	refused bool
 	// holders are the addresses of instances to which a busy supplier referred for the records from
 	// holdersFrom on.
 	holders     []string
-	holdersFrom int64
+	holdersFrom jaystore.Position
 }
 
 // TopicReader returns the reader of a topic and serves the topic's mirror to other instances.
@@ -63,13 +65,21 @@
 	return t
 }
 
+// leastNext returns the position that a copy of another instance has to have reached to replace the own one. An older copy
+// would bring back what has been removed, and one that is not newer would be refused by the store as the own one was.
+func (t *TopicReader) leastNext() jaystore.Position {
+	if t.refused {
+		return t.mirror.Next() + 1
+	}
+	return t.mirror.Next()
+}
+
 // Newest returns the newest record of each key. Of a topic with a history, the offset at which to continue lies
 // before those of the newest records.
-func (t *TopicReader) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, int64, error) {
-	// A copy that is older than the own one would bring back what has been removed.
-	own := t.mirror.Next()
+func (t *TopicReader) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
+	own, least := t.mirror.Next(), t.leastNext()
 	if p, ok := t.zonePosition(); ok {
-		if f := t.fetch(ctx, p.peer, -1, fetchBound); f.result == resultFetched && f.next >= own {
+		if f := t.fetch(ctx, p.peer, -1, fetchBound); f.result == resultFetched && f.next >= least {
 			t.logNewest(p.peer, own, f.next, len(f.records))
 			t.mirror.MarkPending(f.at, f.next)
 			return f.records, f.next, nil
@@ -77,12 +87,13 @@
 	}
 	list, end, err := t.store.Newest(ctx, topic)
 	if err == nil {
+		t.refused = false
 		t.logNewest("store", own, end, len(list))
 		end = t.history.begin(len(list), end)
 		t.mirror.MarkPending(time.Now(), end)
 		return list, end, nil
 	}
-	if f, ok := t.fetchFallback(ctx, -1); ok && f.next > -1 && f.next >= own {
+	if f, ok := t.fetchFallback(ctx, -1); ok && f.next > -1 && f.next >= least {
 		t.logNewest("another instance", own, f.next, len(f.records))
 		t.mirror.MarkPending(f.at, f.next)
 		return f.records, f.next, nil
@@ -91,13 +102,13 @@
 }
 
 // logNewest logs from where the newest records came, and the own position before.
-func (t *TopicReader) logNewest(source string, own, next int64, records int) {
+func (t *TopicReader) logNewest(source string, own, next jaystore.Position, records int) {
 	t.roster.log.Info("newest records read", "topic", t.topic, "source", source, "own", own, "next", next, "records", records)
 }
 
 // Read returns records from an offset on, from another instance of the zone as soon as one
 // has some, or from the store.
-func (t *TopicReader) Read(ctx context.Context, topic jaystore.Topic, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (t *TopicReader) Read(ctx context.Context, topic jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	if t.minInterval > 0 {
 		return t.readPolled(ctx, from)
 	}
@@ -132,17 +143,18 @@
 // stored is what the store answered.
 type stored struct {
 	records []jaystore.Record
-	next    int64
+	next    jaystore.Position
 	err     error
 }
 
 // useStored returns what the store answered to a read that began at start or, if it is unavailable,
 // what another instance supplies, along with the error.
-func (t *TopicReader) useStored(ctx context.Context, from int64, start time.Time, a stored) ([]jaystore.Record, int64, error) {
+func (t *TopicReader) useStored(ctx context.Context, from jaystore.Position, start time.Time, a stored) ([]jaystore.Record, jaystore.Position, error) {
 	if a.err == nil {
 		t.markRead(start, a.next, a.records)
 		return a.records, a.next, nil
 	}
+	t.refused = t.refused || jayerror.Is(a.err, jaystore.KindExpired)
 	if jayerror.Is(a.err, jaystore.KindUnavailable) {
 		f, ok := t.fetchFallback(ctx, from)
 		if ok && f.next > from {
@@ -158,7 +170,7 @@
 
 // markRead records a read in the mirror: at once if it returned no records, else once they
 // have been applied.
-func (t *TopicReader) markRead(at time.Time, next int64, records []jaystore.Record) {
+func (t *TopicReader) markRead(at time.Time, next jaystore.Position, records []jaystore.Record) {
 	if len(records) == 0 {
 		t.mirror.MarkRead(at, next)
 		return
@@ -172,7 +184,9 @@
 	if t.roster.rank.Load() == 0 {
 		return topicPosition{}, false
 	}
-	return t.roster.positions.freshest(time.Now(), t.topic, t.ageLimit())
+	p, ok := t.roster.positions.freshest(time.Now(), t.topic, t.ageLimit())
+	// The copy of a former era says nothing of what the store has now.
+	return p, ok && p.next.Era() >= t.mirror.Next().Era()
 }
 
 // ageLimit returns the age of the store's last answer up to which another instance's copy is used.
--- a/jay/jayroster/transfer.go
+++ b/jay/jayroster/transfer.go
@@ -28,7 +28,7 @@
 // holder is an instance that has received the records of a topic up to an offset.
 type holder struct {
 	peer string
-	next int64
+	next jaystore.Position
 }
 
 // transfers limits the transfers that an instance sends at a time. It is safe for concurrent use.
@@ -75,7 +75,7 @@
 }
 
 // holdersOf returns the addresses of instances that have received a topic at least up to an offset.
-func (t *transfers) holdersOf(topic jaystore.Topic, next int64) []string {
+func (t *transfers) holdersOf(topic jaystore.Topic, next jaystore.Position) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var peers []string
--- a/jay/jayroster/transfer_test.go
+++ b/jay/jayroster/transfer_test.go
@@ -63,11 +63,52 @@
 	}
 }
 
+// Guards against an instance of an earlier release that takes an offset with an era for a plain one.
+func TestMirrorServerSendsPlainOffsetsToEarlierReleases(t *testing.T) {
+	type record struct {
+		Key    string
+		Offset int64
+	}
+	tests := map[string]struct {
+		from, next int64
+		want       []record
+	}{
+		"all":       {-1, 9, []record{{"a", 0}, {"b", 7}}},
+		"the later": {7, 9, []record{{"b", 7}}},
+		"none":      {9, 9, nil},
+	}
+	m, mirror := new(mirrors), jaystore.NewMirror(discardConsumer{})
+	mirror.Apply(t.Context(), []jaystore.Record{
+		{Key: "a", Value: []byte("a"), Position: jaystore.NewPosition(2, 40)}, {Key: "b", Value: []byte("b"), Position: jaystore.NewPosition(3, 7)},
+	})
+	mirror.MarkRead(time.Now(), jaystore.NewPosition(3, 9))
+	m.Store(jaystore.TopicUpstreams, mirror)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			request, err := msgpack.Marshal(map[string]any{"t": jaystore.TopicUpstreams, "f": test.from})
+			if err != nil {
+				t.Fatal(err)
+			}
+			data, err := newMirrorServer(m, newCodec(), discardSeries{}).serve(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var reply struct {
+				Records []record `msgpack:"r"`
+				Next    int64    `msgpack:"n"`
+			}
+			if err := msgpack.Unmarshal(data, &reply); err != nil || reply.Next != test.next || !slices.Equal(reply.Records, test.want) {
+				t.Errorf("reply = %+v, %v, want %v, next %d", reply, err, test.want, test.next)
+			}
+		})
+	}
+}
+
 // Guards against a cached reply that lacks the tombstone of a key which a snapshot no longer has.
 func TestMirrorServerSendsTombstonesOfSnapshot(t *testing.T) {
 	m, mirror := new(mirrors), jaystore.NewMirror(discardConsumer{})
-	a := jaystore.Record{Key: "a", Value: make([]byte, minCompressBytes), Offset: 0}
-	b, c := jaystore.Record{Key: "b", Value: []byte("b"), Offset: 1}, jaystore.Record{Key: "c", Value: []byte("c"), Offset: 2}
+	a := jaystore.Record{Key: "a", Value: make([]byte, minCompressBytes), Position: 0}
+	b, c := jaystore.Record{Key: "b", Value: []byte("b"), Position: 1}, jaystore.Record{Key: "c", Value: []byte("c"), Position: 2}
 	mirror.Apply(t.Context(), []jaystore.Record{a, b, c})
 	mirror.MarkRead(time.Now(), 3)
 	m.Store(jaystore.TopicUpstreams, mirror)
@@ -96,7 +137,7 @@
 
 func (discardConsumer) Apply(context.Context, []jaystore.Record) {}
 
-func (discardConsumer) Replace(context.Context, []jaystore.Record, int64) {}
+func (discardConsumer) Replace(context.Context, []jaystore.Record, jaystore.Position) {}
 
 type discardSeries struct{}
 
--- a/jay/jayroster/zonereader.go
+++ b/jay/jayroster/zonereader.go
@@ -22,7 +22,7 @@
 // readZone returns records from an instance of the zone that has some; it waits until there are,
 // unless interrupt is nil. Its result is pollRead, pollExpired or the reason for which the store is to
 // be read.
-func (t *TopicReader) readZone(ctx context.Context, from int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, pollResult) {
+func (t *TopicReader) readZone(ctx context.Context, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, pollResult) {
 	wait, busySince := interrupt != nil, time.Time{}
 	for ctx.Err() == nil {
 		changed := t.roster.positions.onChange()
@@ -84,7 +84,7 @@
 )
 
 // pollZone returns the records from an offset on that another instance of the zone has.
-func (t *TopicReader) pollZone(ctx context.Context, from int64, wait bool) ([]jaystore.Record, int64, pollResult) {
+func (t *TopicReader) pollZone(ctx context.Context, from jaystore.Position, wait bool) ([]jaystore.Record, jaystore.Position, pollResult) {
 	p, ok := t.zonePosition()
 	switch {
 	case !ok && t.roster.starting():
@@ -105,7 +105,7 @@
 }
 
 // fetchFrom requests the records of an instance.
-func (t *TopicReader) fetchFrom(ctx context.Context, address string, from int64) ([]jaystore.Record, int64, pollResult) {
+func (t *TopicReader) fetchFrom(ctx context.Context, address string, from jaystore.Position) ([]jaystore.Record, jaystore.Position, pollResult) {
 	f := t.fetch(ctx, address, from, fetchBound)
 	switch f.result {
 	case resultFetched:
--- a/jay/jaystore/copies_test.go
+++ b/jay/jaystore/copies_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
@@ -14,17 +13,28 @@
 	"jayfield.example/jay/jaystore"
 )
 
-// topicLog is a keyed topic whose older records may be trimmed.
+// topicLog is a keyed topic whose older records may be trimmed, in a store that may come back from a copy.
 type topicLog struct {
 	records []jaystore.Record
-	first   int64
+	// first is the offset of the oldest record that can still be read.
+	first, era int64
 }
 
 func (l *topicLog) put(key, value string) {
-	l.records = append(l.records, jaystore.Record{Key: key, Value: []byte(value), Offset: l.end()})
+	l.records = append(l.records, jaystore.Record{Key: key, Value: []byte(value), Position: l.end()})
 }
 
-func (l *topicLog) end() int64 { return int64(len(l.records)) }
+func (l *topicLog) end() jaystore.Position { return jaystore.NewPosition(l.era, int64(len(l.records))) }
+
+// restore begins an era with the first records of the topic.
+func (l *topicLog) restore(count int) {
+	l.era++
+	l.records = slices.Clone(l.records[:count])
+	l.first = min(l.first, int64(count))
+	for n := range l.records {
+		l.records[n].Position = jaystore.NewPosition(l.era, int64(n))
+	}
+}
 
 // newest returns the newest record of each key that has not been removed.
 func (l *topicLog) newest() map[string]jaystore.Record {
@@ -40,7 +50,7 @@
 type copyOfTopic struct {
 	mirror *jaystore.Mirror
 	acted  *latest
-	next   int64
+	next   jaystore.Position
 	// apply completes a read whose records are still to be applied.
 	apply func()
 }
@@ -58,7 +68,7 @@
 	}
 }
 
-func (l *latest) Replace(ctx context.Context, records []jaystore.Record, _ int64) {
+func (l *latest) Replace(ctx context.Context, records []jaystore.Record, _ jaystore.Position) {
 	clear(l.values)
 	l.Apply(ctx, records)
 }
@@ -77,10 +87,10 @@
 	switch {
 	case c.next < 0:
 		c.replace(slices.Collect(maps.Values(l.newest())), l.end(), now)
-	case c.next < l.first:
+	case c.next.Era() != l.era || c.next.Offset() < l.first:
 		c.next = -1
 	default:
-		c.extend(l.records[c.next:], l.end(), now)
+		c.extend(l.records[c.next.Offset():], l.end(), now)
 	}
 }
 
@@ -88,6 +98,9 @@
 // reports, which may say that there is nothing new.
 func (c *copyOfTopic) readCopy(from *copyOfTopic, now time.Time) {
 	changed, _ := from.mirror.Position()
+	if changed.Era() < c.mirror.Next().Era() {
+		return
+	}
 	if c.next >= 0 && changed <= c.next {
 		if changed >= 0 {
 			c.mirror.MarkRead(now, c.next)
@@ -106,13 +119,13 @@
 	}
 }
 
-func (c *copyOfTopic) replace(records []jaystore.Record, end int64, now time.Time) {
+func (c *copyOfTopic) replace(records []jaystore.Record, end jaystore.Position, now time.Time) {
 	c.mirror.MarkPending(now, end)
 	c.apply = func() { c.mirror.Replace(context.Background(), records, end) }
 	c.next = end
 }
 
-func (c *copyOfTopic) extend(records []jaystore.Record, end int64, now time.Time) {
+func (c *copyOfTopic) extend(records []jaystore.Record, end jaystore.Position, now time.Time) {
 	c.next = end
 	if len(records) == 0 {
 		c.mirror.MarkRead(now, end)
@@ -130,8 +143,8 @@
 	}
 }
 
-// Guards against a removal that is lost: whatever the order of restarts, snapshots, reads from the store
-// and from each other, writes and removals, all copies equal the store's once everything is quiet.
+// Guards against a removal that is lost and a record that stays: whatever the order of restarts, snapshots, reads from the store
+// and from each other, writes, removals and returns of the store from a copy, all copies equal the store's once everything is quiet.
 func TestCopiesEqualStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const instances = 4
@@ -148,9 +161,12 @@
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"write":      func(t *rapid.T) { log.put(key.Draw(t, "key"), rapid.SampledFrom([]string{"1", "2"}).Draw(t, "value")) },
-			"remove":     func(t *rapid.T) { log.put(key.Draw(t, "key"), "") },
-			"trim":       func(t *rapid.T) { log.first = rapid.Int64Range(log.first, log.end()).Draw(t, "first") },
+			"write":  func(t *rapid.T) { log.put(key.Draw(t, "key"), rapid.SampledFrom([]string{"1", "2"}).Draw(t, "value")) },
+			"remove": func(t *rapid.T) { log.put(key.Draw(t, "key"), "") },
+			"trim": func(t *rapid.T) {
+				log.first = rapid.Int64Range(log.first, int64(len(log.records))).Draw(t, "first")
+			},
+			"restore":    func(t *rapid.T) { log.restore(rapid.IntRange(0, len(log.records)).Draw(t, "records")) },
 			"read store": func(*rapid.T) { read(pick("reader"), func(c *copyOfTopic) { c.readStore(log, now) }) },
 			"read copy":  func(*rapid.T) { read(pick("reader"), func(c *copyOfTopic) { c.readCopy(pick("supplier"), now) }) },
 			"apply":      func(*rapid.T) { pick("reader").finish() },
@@ -191,15 +207,15 @@
 // Guards against a key that stays for good, since a copy of all keys has a tombstone of an earlier removal.
 func TestEarlierTombstoneDoesNotKeepKey(t *testing.T) {
 	supplier, m := jaystore.NewMirror(&consumer{}), jaystore.NewMirror(&consumer{})
-	supplier.Apply(t.Context(), []jaystore.Record{{Key: "a", Offset: 0}})
+	supplier.Apply(t.Context(), []jaystore.Record{{Key: "a", Position: 0}})
 	supplier.MarkRead(time.Unix(1000, 0), 3)
 	if records, _, err := supplier.From(-1); err != nil || len(records) != 0 {
 		t.Errorf("records of all keys = %v, %v, want none", records, err)
 	}
 	m.MarkPending(time.Unix(1000, 0), 2)
-	m.Replace(t.Context(), []jaystore.Record{{Key: "a", Value: []byte("1"), Offset: 1}}, 2)
+	m.Replace(t.Context(), []jaystore.Record{{Key: "a", Value: []byte("1"), Position: 1}}, 2)
 	m.MarkPending(time.Unix(1001, 0), 3)
-	m.Replace(t.Context(), []jaystore.Record{{Key: "a", Offset: 0}}, 3)
+	m.Replace(t.Context(), []jaystore.Record{{Key: "a", Position: 0}}, 3)
 	if records, _, err := m.From(-1); err != nil || len(records) != 0 {
 		t.Errorf("records of all keys = %v, %v, want none", records, err)
 	}
@@ -209,14 +225,14 @@
 func TestMirrorForgetsOldRemovals(t *testing.T) {
 	const keys, kept = 1000, 10
 	m := jaystore.NewMirror(&consumer{}, jaystore.WithMaxTombstones(kept))
-	for n := range int64(keys) {
-		m.Apply(t.Context(), []jaystore.Record{{Key: strconv.FormatInt(n, 10), Offset: n}})
+	for n := range jaystore.Position(keys) {
+		m.Apply(t.Context(), []jaystore.Record{{Key: n.String(), Position: n}})
 		m.MarkRead(time.Unix(1000, 0), n+1)
 	}
 	if records, _, err := m.From(keys - 1); err != nil || len(records) != 1 {
 		t.Errorf("the latest removal: records = %v, %v", records, err)
 	}
-	first := int64(0)
+	first := jaystore.Position(0)
 	for ; first < keys; first++ {
 		if _, _, err := m.From(first); err == nil {
 			break
@@ -230,10 +246,10 @@
 // Guards against the removals that a snapshot lacks: who has read less than the snapshot has to take it as
 // a whole, unless the mirror has held all keys before it.
 func TestMirrorSuppliesNothingBeforeItsHistory(t *testing.T) {
-	a, b := jaystore.Record{Key: "a", Value: []byte("1"), Offset: 4}, jaystore.Record{Key: "b", Value: []byte("1"), Offset: 12}
+	a, b := jaystore.Record{Key: "a", Value: []byte("1"), Position: 4}, jaystore.Record{Key: "b", Value: []byte("1"), Position: 12}
 	tests := map[string]struct {
 		steps   func(m *jaystore.Mirror)
-		from    int64
+		from    jaystore.Position
 		expired bool
 	}{
 		"before the first snapshot": {func(*jaystore.Mirror) {}, 5, true},
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -19,7 +19,7 @@
 // Consumer processes the records that a follower reads. Its methods are called one at a time.
 type Consumer interface {
 	// Replace processes a snapshot: the newest records of all keys, complete up to an offset.
-	Replace(ctx context.Context, records []Record, end int64)
+	Replace(ctx context.Context, records []Record, end Position)
 	// Apply processes records in the order of their offsets.
 	Apply(ctx context.Context, records []Record)
 	// Unavailable and Available are called when the store becomes unavailable and available again.
@@ -55,7 +55,7 @@
 	interval time.Duration
 	// batchDelay is the least time between the receipt of records and the next read.
 	batchDelay  time.Duration
-	next        int64
+	next        Position
 	unavailable bool
 	backoff     time.Duration
 	// immediate makes the next read return without waiting for a record.
@@ -144,7 +144,7 @@
 // read reads the records after the position. While the store is unavailable it
 // doesn't use long polling, since a read that the store held before may never
 // get a response.
-func (f *Follower) read(ctx context.Context) ([]Record, int64, error) {
+func (f *Follower) read(ctx context.Context) ([]Record, Position, error) {
 	if f.interval > 0 || f.unavailable || f.immediate {
 		f.immediate = false
 		return f.reader.Read(ctx, f.topic, f.next, nil) //nolint:wrapcheck // The adapter returns errors of this package.
--- a/jay/jaystore/follower_test.go
+++ b/jay/jaystore/follower_test.go
@@ -17,7 +17,7 @@
 // answer is the response of a scripted reader to one call.
 type answer struct {
 	records []jaystore.Record
-	next    int64
+	next    jaystore.Position
 	err     error
 }
 
@@ -28,18 +28,18 @@
 	end    context.CancelFunc
 }
 
-func (r *reader) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (r *reader) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	return r.answer("newest")
 }
 
-func (r *reader) Read(_ context.Context, _ jaystore.Topic, _ int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (r *reader) Read(_ context.Context, _ jaystore.Topic, _ jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	if interrupt != nil {
 		return r.answer("wait")
 	}
 	return r.answer("read")
 }
 
-func (r *reader) answer(call string) ([]jaystore.Record, int64, error) {
+func (r *reader) answer(call string) ([]jaystore.Record, jaystore.Position, error) {
 	r.calls = append(r.calls, call)
 	a := r.script[0]
 	if r.script = r.script[1:]; len(r.script) == 0 {
@@ -53,7 +53,7 @@
 	seen []string
 }
 
-func (c *consumer) Replace(_ context.Context, records []jaystore.Record, _ int64) {
+func (c *consumer) Replace(_ context.Context, records []jaystore.Record, _ jaystore.Position) {
 	c.note("replace", records)
 }
 
@@ -176,11 +176,11 @@
 	end         context.CancelFunc
 }
 
-func (*blockingReader) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (*blockingReader) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	return nil, 0, nil
 }
 
-func (b *blockingReader) Read(ctx context.Context, _ jaystore.Topic, _ int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (b *blockingReader) Read(ctx context.Context, _ jaystore.Topic, _ jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	if b.reads++; b.reads == 1 {
 		close(b.started)
 		if b.transferred == nil {
--- a/jay/jaystore/log.go
+++ b/jay/jaystore/log.go
@@ -11,9 +11,10 @@
 
 // Record is one record of a keyed topic. A record without a value is a tombstone: it deletes its key.
 type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
+	Key   string
+	Value []byte
+	// Position has the name of former releases in messages.
+	Position Position `msgpack:"Offset"`
 }
 
 // Kind classifies a failed call.
@@ -54,19 +55,19 @@
 // Reader reads keyed topics.
 type Reader interface {
 	// Newest returns the newest record of each key and the offset at which to continue reading.
-	Newest(ctx context.Context, topic Topic) (records []Record, end int64, err error)
+	Newest(ctx context.Context, topic Topic) (records []Record, end Position, err error)
 	// Read returns the records from an offset on and the offset after them. It blocks until there
 	// is a record, unless interrupt is nil. Closing interrupt ends the wait with KindInterrupted,
 	// but not a transfer of records that has begun. If the store is unavailable, Read may return,
 	// along with the error, records that another instance has read.
-	Read(ctx context.Context, topic Topic, from int64, interrupt <-chan struct{}) (records []Record, next int64, err error)
+	Read(ctx context.Context, topic Topic, from Position, interrupt <-chan struct{}) (records []Record, next Position, err error)
 }
 
 // Writer writes records of keyed topics.
 type Writer interface {
 	// Put appends a record, which replaces the previous one of its key, and returns its offset.
-	Put(ctx context.Context, topic Topic, key string, value []byte) (offset int64, err error)
+	Put(ctx context.Context, topic Topic, key string, value []byte) (offset Position, err error)
 	// PutAt is Put for a topic that ends at an offset: it fails with KindConflict, without an effect, if
 	// the topic has other records. A call without an answer takes effect later only if that still holds.
-	PutAt(ctx context.Context, topic Topic, key string, value []byte, end int64) error
+	PutAt(ctx context.Context, topic Topic, key string, value []byte, end Position) error
 }
--- a/jay/jaystore/mirror.go
+++ b/jay/jaystore/mirror.go
@@ -37,10 +37,10 @@
 	retention time.Duration
 	// begin is the offset from which on the mirror knows all removals: a snapshot does not contain
 	// those before its end.
-	begin int64
+	begin Position
 	// next is the offset after all records that were read, changed the offset after the last
 	// record that was kept or the last snapshot.
-	next, changed int64
+	next, changed Position
 	readAt        time.Time
 	// tombstones is the number of tombstones, of which at most maxTombstones are kept.
 	tombstones, maxTombstones int
@@ -51,7 +51,7 @@
 // readMark is the offset up to which a read was complete as of a point in time.
 type readMark struct {
 	at   time.Time
-	next int64
+	next Position
 }
 
 // MirrorOption configures a mirror.
@@ -69,7 +69,7 @@
 
 // With returns the newer one of the records.
 func (n newest) With(_ time.Time, r Record) (History, bool) {
-	if len(n) > 0 && r.Offset < n[0].Offset {
+	if len(n) > 0 && r.Position < n[0].Position {
 		return n, false
 	}
 	return newest{r}, true
@@ -116,7 +116,7 @@
 }
 
 // MarkRead records that the mirror was complete up to an offset as of a point in time.
-func (m *Mirror) MarkRead(at time.Time, next int64) {
+func (m *Mirror) MarkRead(at time.Time, next Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance(at, next)
@@ -125,7 +125,7 @@
 // MarkPending records that the mirror will be complete up to an offset, as of a point in time,
 // once the records of the read have been applied. Until then other instances that read the
 // mirror must not skip them.
-func (m *Mirror) MarkPending(at time.Time, next int64) {
+func (m *Mirror) MarkPending(at time.Time, next Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.pending = &readMark{at: at, next: next}
@@ -139,7 +139,7 @@
 	}
 }
 
-func (m *Mirror) advance(at time.Time, next int64) {
+func (m *Mirror) advance(at time.Time, next Position) {
 	m.next = max(m.next, next)
 	if at.After(m.readAt) {
 		m.readAt = at
@@ -150,7 +150,7 @@
 // offset after all records that were read. A negative offset selects the histories of all keys, without
 // those of removed keys that are settled. The error is of KindExpired if the mirror may not know all
 // removals since the offset: the reader has to replace its copy by that of all keys.
-func (m *Mirror) From(offset int64) ([]Record, int64, error) {
+func (m *Mirror) From(offset Position) ([]Record, Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if offset >= 0 && m.next >= 0 && offset < m.begin {
@@ -163,17 +163,17 @@
 			continue
 		}
 		for _, r := range list {
-			if r.Offset >= offset {
+			if r.Position >= offset {
 				records = append(records, r)
 			}
 		}
 	}
-	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Position, b.Position) })
 	return records, m.next, nil
 }
 
 // Next returns the offset after all records that were read, -1 before the first read.
-func (m *Mirror) Next() int64 {
+func (m *Mirror) Next() Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.next
@@ -181,14 +181,14 @@
 
 // Position returns the offset after the last record that other instances need, -1
 // before anything was read, and the time as of which the mirror is complete.
-func (m *Mirror) Position() (changed int64, readAt time.Time) {
+func (m *Mirror) Position() (changed Position, readAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return min(m.changed, m.next), m.readAt
 }
 
 // Replace stores a snapshot and forwards it.
-func (m *Mirror) Replace(ctx context.Context, records []Record, end int64) {
+func (m *Mirror) Replace(ctx context.Context, records []Record, end Position) {
 	m.mu.Lock()
 	present := make(map[string]bool, len(records))
 	for _, r := range records {
@@ -199,7 +199,7 @@
 	for key, h := range m.histories {
 		if !present[key] && !h.Removed() && lastOffset(h) < end {
 			// The tombstone is kept for instances that have read less of the topic.
-			m.add(now, Record{Key: key, Offset: end - 1})
+			m.add(now, Record{Key: key, Position: end - 1})
 		}
 	}
 	m.put(records)
@@ -216,7 +216,7 @@
 	now := time.Now()
 	for _, r := range records {
 		if m.add(now, r) {
-			m.changed = max(m.changed, r.Offset+1)
+			m.changed = max(m.changed, r.Position+1)
 		}
 	}
 	m.settle(now)
@@ -263,9 +263,9 @@
 }
 
 // lastOffset returns the offset of the last record of a history that has one.
-func lastOffset(h History) int64 {
+func lastOffset(h History) Position {
 	list := h.Records()
-	return list[len(list)-1].Offset
+	return list[len(list)-1].Position
 }
 
 // dropTombstones drops the older half of the tombstones, with what is remembered of their keys, if there are too many.
@@ -274,7 +274,7 @@
 	if m.tombstones <= m.maxTombstones {
 		return
 	}
-	offsets := make([]int64, 0, m.tombstones)
+	offsets := make([]Position, 0, m.tombstones)
 	for _, h := range m.histories {
 		if h.Removed() {
 			offsets = append(offsets, lastOffset(h))
--- a/jay/jaystore/mirror_test.go
+++ b/jay/jaystore/mirror_test.go
@@ -39,26 +39,26 @@
 func TestMirrorDeduplicates(t *testing.T) {
 	tests := map[string]struct {
 		values  []string
-		offsets []int64
-		changed int64
+		offsets []jaystore.Position
+		changed jaystore.Position
 	}{
-		"first record is served":             {[]string{"ready 1"}, []int64{0}, 1},
-		"heartbeats":                         {[]string{"ready 1", "ready 2", "ready 3"}, []int64{0}, 1},
-		"change":                             {[]string{"ready 1", "ready 2", "leaving 3", "leaving 4"}, []int64{2}, 3},
-		"end":                                {[]string{"ready 1", "ready 2", ""}, []int64{2}, 3},
-		"record after a tombstone is served": {[]string{"ready 1", "", "ready 2", "ready 3"}, []int64{2}, 3},
-		"undecodable records are never duplicates": {[]string{"ready 1", "x", "x"}, []int64{2}, 3},
-		"return to an earlier state is served":     {[]string{"ready 1", "leaving 2", "ready 3"}, []int64{2}, 3},
+		"first record is served":             {[]string{"ready 1"}, []jaystore.Position{0}, 1},
+		"heartbeats":                         {[]string{"ready 1", "ready 2", "ready 3"}, []jaystore.Position{0}, 1},
+		"change":                             {[]string{"ready 1", "ready 2", "leaving 3", "leaving 4"}, []jaystore.Position{2}, 3},
+		"end":                                {[]string{"ready 1", "ready 2", ""}, []jaystore.Position{2}, 3},
+		"record after a tombstone is served": {[]string{"ready 1", "", "ready 2", "ready 3"}, []jaystore.Position{2}, 3},
+		"undecodable records are never duplicates": {[]string{"ready 1", "x", "x"}, []jaystore.Position{2}, 3},
+		"return to an earlier state is served":     {[]string{"ready 1", "leaving 2", "ready 3"}, []jaystore.Position{2}, 3},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			mirror := jaystore.NewMirror(&consumer{}, jaystore.WithHistory(newStateHistory, time.Minute))
 			for offset, value := range test.values {
-				mirror.Apply(t.Context(), []jaystore.Record{{Key: "e1", Value: []byte(value), Offset: int64(offset)}})
-				mirror.MarkRead(time.Unix(1000, 0), int64(offset)+1)
+				mirror.Apply(t.Context(), []jaystore.Record{{Key: "e1", Value: []byte(value), Position: jaystore.Position(offset)}})
+				mirror.MarkRead(time.Unix(1000, 0), jaystore.Position(offset)+1)
 			}
 			records, next, err := mirror.From(0)
-			if err != nil || next != int64(len(test.values)) || len(records) != len(test.offsets) || records[0].Offset != test.offsets[0] {
+			if err != nil || next != jaystore.Position(len(test.values)) || len(records) != len(test.offsets) || records[0].Position != test.offsets[0] {
 				t.Errorf("records = %v, next = %d, want offsets %v", records, next, test.offsets)
 			}
 			if changed, _ := mirror.Position(); changed != test.changed {
@@ -91,7 +91,7 @@
 			if _, readAt := mirror.Position(); !readAt.Equal(time.Unix(1000, 0)) {
 				t.Errorf("read at %s before the records are applied", readAt)
 			}
-			test.apply(mirror, []jaystore.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2"), Offset: 1}})
+			test.apply(mirror, []jaystore.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2"), Position: 1}})
 			records, next, err := mirror.From(1)
 			if jayerror.Is(err, jaystore.KindExpired) != test.expired || !test.expired && len(records) != 1 || next != 2 {
 				t.Errorf("records = %v, next = %d, %v, want expired = %v", records, next, err, test.expired)
--- a/jay/jaystore/model_test.go
+++ b/jay/jaystore/model_test.go
@@ -17,7 +17,7 @@
 type model struct {
 	t       *rapid.T
 	records []jaystore.Record
-	first   int64
+	first   jaystore.Position
 	calls   int
 	end     context.CancelFunc
 }
@@ -26,10 +26,10 @@
 	for range rapid.IntRange(0, 3).Draw(m.t, "writes") {
 		key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(m.t, "key")
 		value := rapid.SampledFrom([]string{"", "1", "2"}).Draw(m.t, "value")
-		m.records = append(m.records, jaystore.Record{Key: key, Value: []byte(value), Offset: int64(len(m.records))})
+		m.records = append(m.records, jaystore.Record{Key: key, Value: []byte(value), Position: jaystore.Position(len(m.records))})
 	}
 	if rapid.IntRange(0, 3).Draw(m.t, "trim") == 0 {
-		m.first = rapid.Int64Range(m.first, int64(len(m.records))).Draw(m.t, "first")
+		m.first = jaystore.Position(rapid.Int64Range(int64(m.first), int64(len(m.records))).Draw(m.t, "first"))
 	}
 }
 
@@ -55,7 +55,7 @@
 	return newest
 }
 
-func (m *model) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (m *model) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	if m.fail() {
 		return nil, 0, jayerror.New("newest", jaystore.KindUnavailable, "drawn")
 	}
@@ -63,12 +63,12 @@
 	for _, r := range m.newest() {
 		list = append(list, r)
 	}
-	return list, int64(len(m.records)), nil
+	return list, jaystore.Position(len(m.records)), nil
 }
 
-func (m *model) Read(_ context.Context, _ jaystore.Topic, from int64, _ <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (m *model) Read(_ context.Context, _ jaystore.Topic, from jaystore.Position, _ <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	failed := m.fail()
-	end := int64(len(m.records))
+	end := jaystore.Position(len(m.records))
 	if !failed && from < m.first {
 		return nil, 0, jayerror.New("read", jaystore.KindExpired, "drawn")
 	}
@@ -77,7 +77,7 @@
 	}
 	err := jayerror.New("read", jaystore.KindUnavailable, "drawn")
 	if from >= m.first && rapid.Bool().Draw(m.t, "records of another instance") {
-		to := rapid.Int64Range(from, end).Draw(m.t, "to")
+		to := jaystore.Position(rapid.Int64Range(int64(from), int64(end)).Draw(m.t, "to"))
 		return m.records[from:to], to, err
 	}
 	return nil, 0, err
@@ -91,14 +91,14 @@
 
 func (c *cache) Apply(_ context.Context, records []jaystore.Record) {
 	for _, r := range records {
-		if prev, ok := c.newest[r.Key]; ok && r.Offset <= prev.Offset {
-			c.t.Fatalf("key %s went back from offset %d to %d", r.Key, prev.Offset, r.Offset)
+		if prev, ok := c.newest[r.Key]; ok && r.Position <= prev.Position {
+			c.t.Fatalf("key %s went back from offset %d to %d", r.Key, prev.Position, r.Position)
 		}
 		c.newest[r.Key] = r
 	}
 }
 
-func (c *cache) Replace(ctx context.Context, records []jaystore.Record, _ int64) {
+func (c *cache) Replace(ctx context.Context, records []jaystore.Record, _ jaystore.Position) {
 	clear(c.newest)
 	c.Apply(ctx, records)
 }
@@ -128,7 +128,7 @@
 	m, b := &model{t: t, end: cancel}, &cache{t: t, newest: make(map[string]jaystore.Record)}
 	jaystore.NewFollower(m, jaystore.TopicPolicy, b, 0, slog.New(slog.DiscardHandler)).Run(ctx)
 	maps.DeleteFunc(b.newest, func(_ string, r jaystore.Record) bool { return len(r.Value) == 0 })
-	if want := m.newest(); !maps.EqualFunc(b.newest, want, func(a, b jaystore.Record) bool { return a.Offset == b.Offset }) {
+	if want := m.newest(); !maps.EqualFunc(b.newest, want, func(a, b jaystore.Record) bool { return a.Position == b.Position }) {
 		t.Fatalf("newest = %v, want %v", b.newest, want)
 	}
 }
--- a/jay/jaystore/outage_test.go
+++ b/jay/jaystore/outage_test.go
@@ -21,11 +21,11 @@
 	readAt atomic.Pointer[time.Time]
 }
 
-func (r *silentReader) Newest(ctx context.Context, _ jaystore.Topic) ([]jaystore.Record, int64, error) {
+func (r *silentReader) Newest(ctx context.Context, _ jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	return r.answer(ctx)
 }
 
-func (r *silentReader) Read(ctx context.Context, _ jaystore.Topic, _ int64, interrupt <-chan struct{}) ([]jaystore.Record, int64, error) {
+func (r *silentReader) Read(ctx context.Context, _ jaystore.Topic, _ jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	if interrupt != nil {
 		select {
 		case <-time.After(900 * time.Millisecond):
@@ -37,7 +37,7 @@
 	return r.answer(ctx)
 }
 
-func (r *silentReader) answer(ctx context.Context) ([]jaystore.Record, int64, error) {
+func (r *silentReader) answer(ctx context.Context) ([]jaystore.Record, jaystore.Position, error) {
 	if r.cut.Load() {
 		select {
 		case <-time.After(time.Second):
--- a/jay/jayusage/reporter.go
+++ b/jay/jayusage/reporter.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"jayfield.example/jay/jaystore"
 )
 
 const (
@@ -55,7 +57,7 @@
 	Counts         map[uint32]uint64
 	Zones, Missing []string
 	// End is the offset at which the store's topic has to end.
-	End int64
+	End jaystore.Position
 	// Report is the report to send, exactly as the store holds it.
 	Report Stored
 }
@@ -102,7 +104,7 @@
 	// synced is set while the state equals the store's topic up to end. newest is the latest
 	// window with a report, or none.
 	synced bool
-	end    int64
+	end    jaystore.Position
 	newest int64
 	// next is the first window without a report that is still to be made.
 	next int64
@@ -272,7 +274,7 @@
 }
 
 // RecordRead records the reports that the store holds and the offset at which its topic ends.
-func (r *Reporter) RecordRead(now time.Time, reports []Stored, end int64) {
+func (r *Reporter) RecordRead(now time.Time, reports []Stored, end jaystore.Position) {
 	r.synced, r.end = true, end
 	maps.DeleteFunc(r.sent, func(window int64, _ bool) bool { return now.Sub(WindowEnd(window, r.window)) > recoverFor })
 	for _, report := range reports {
--- a/jay/jayusage/reporter_test.go
+++ b/jay/jayusage/reporter_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jayusage"
 )
 
@@ -21,7 +22,7 @@
 	faults int
 	now    time.Time
 	store  map[int64]jayusage.Stored
-	end    int64
+	end    jaystore.Position
 	// late are writes without an answer that may still take effect.
 	late     []lateWrite
 	holders  []*jayusage.Reporter
@@ -33,7 +34,7 @@
 }
 
 type lateWrite struct {
-	end    int64
+	end    jaystore.Position
 	report jayusage.Stored
 }
 
