Keep entries for the grace period that a copy of the store lacks

Cause: only an instance whose own calls failed knew of an outage. One that reads the copy of another instance, or whose calls fell before and after it, saw a plain removal.

Failed before: TestEntriesMissingFromCopyAreKeptForGrace/at_once (available = [], want [a]).

--- a/jay/jayfleet/fleet.go
+++ b/jay/jayfleet/fleet.go
@@ -28,10 +28,14 @@
 	// storeDown is set while the store does not answer. It answers again since availableSince.
 	storeDown      bool
 	availableSince time.Time
+	// era is that of the latest snapshot, unknownEra before the first.
+	era int64
 	// changes counts the changes that affect placement.
 	changes uint64
 }
 
+const unknownEra = -1
+
 type entry struct {
 	history History
 	// changedAt is when the registry last changed more than a sequence number.
@@ -48,7 +52,7 @@
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{entries: make(map[string]*entry)}
+	return &Fleet{entries: make(map[string]*entry), era: unknownEra}
 }
 
 // Available returns the upstreams that take new requests, ordered by ID. If several have the
@@ -180,8 +184,13 @@
 	return !f.availableSince.IsZero() && now.Before(f.availableSince.Add(RemovalGrace))
 }
 
-// Replace applies a snapshot up to a position: entries that are not in it have been removed.
+// Replace applies a snapshot up to a position: entries that are not in it have been removed. If the store has come back from a
+// copy since the snapshot before, as after an outage, their upstreams may register again.
 func (f *Fleet) Replace(now time.Time, end jaystore.Position, ids map[string]bool) {
+	if f.era != unknownEra && end.Era() > f.era {
+		f.availableSince = now
+	}
+	f.era = max(f.era, end.Era())
 	for id := range f.entries {
 		if !ids[id] {
 			f.Remove(now, id, end-1)
--- a/jay/jayfleet/fleet_test.go
+++ b/jay/jayfleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jaystore"
 )
 
 func ids(f *jayfleet.Fleet) []string {
@@ -272,3 +273,43 @@
 		})
 	}
 }
+
+// Guards against live upstreams that are left out since the copy from which the store came back lacks their entries.
+func TestEntriesMissingFromCopyAreKeptForGrace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := jayfleet.Upstream{ID: "a", Service: "s", Address: "10.0.0.1:80", Born: 5, Sequence: 3}
+	back := a
+	back.Sequence++
+	tests := map[string]struct {
+		// removed is set if the entry was removed before the store came back.
+		removed bool
+		after   func(f *jayfleet.Fleet)
+		want    []string
+	}{
+		"at once":                {false, func(*jayfleet.Fleet) {}, []string{"a"}},
+		"after the grace period": {false, func(f *jayfleet.Fleet) { f.Tick(now.Add(jayfleet.RemovalGrace)) }, []string{}},
+		"registered again": {false, func(f *jayfleet.Fleet) {
+			f.Put(now, jaystore.NewPosition(2, 9), back)
+			f.Tick(now.Add(jayfleet.RemovalGrace))
+		}, []string{"a"}},
+		"removed before": {true, func(*jayfleet.Fleet) {}, []string{}},
+		"removed before, its removal lost": {true, func(f *jayfleet.Fleet) {
+			f.Put(now, jaystore.NewPosition(2, 3), a)
+		}, []string{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := jayfleet.New()
+			f.Replace(now, jaystore.NewPosition(1, 30), nil)
+			f.Put(now, jaystore.NewPosition(1, 31), a)
+			if test.removed {
+				f.Remove(now, a.ID, jaystore.NewPosition(1, 32))
+			}
+			f.Replace(now, jaystore.NewPosition(2, 8), nil)
+			test.after(f)
+			if got := ids(f); !slices.Equal(got, test.want) {
+				t.Errorf("available = %v, want %v", got, test.want)
+			}
+		})
+	}
+}
