--- a/jay/jayfleet/upstream.go
+++ b/jay/jayfleet/upstream.go
@@ -24,6 +24,8 @@
 	// Address is an IP address and a port.
 	Address string
 	Zone    string
+	// Version is the version of its software, empty if not reported. Versions have no order.
+	Version string
 	Slots   int
 	// Leaving is set while the upstream finishes its requests before a planned stop.
 	Leaving bool
--- a/jay/jayrelay/dialect.go
+++ b/jay/jayrelay/dialect.go
@@ -36,6 +36,9 @@
 	Timeout time.Duration
 	// LastEventID is the ID of the last stream event that the caller received, empty if none.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of the stream that the caller takes up again, empty
+	// if it states none.
+	Resumes string
 	// Key is the key of the client account that the caller states, empty if it states none or several.
 	Key jayaccount.Key
 	// Prompt describes the prompt for a model, nil if the request has no description.
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -105,6 +105,19 @@
 	Admit(ctx context.Context, r jayadmit.Request, w jayplace.Work, choice jayplace.Choice) (jayplace.Choice, bool, error)
 }
 
+// Streams knows the versions of upstreams that began streams. What two versions generate does not fit together, so a stream goes on
+// only at the one that began it.
+type Streams interface {
+	// Version returns the version at which a stream of a service may go on, whose first event came with an attempt, empty if the
+	// caller does not state it. It may read the store. The error is of jaystream.KindUnknown if the version cannot be
+	// known, and states when the caller may try again.
+	Version(ctx context.Context, service, attempt string) (string, error)
+	// Began is called with the version of the upstream that generated the first event of a stream, when that has come.
+	Began(service, attempt, version string)
+	// Ended is called when the response to a stream that began ends, with whether it was complete.
+	Ended(service, attempt string, complete bool)
+}
+
 // Relay is the HTTP handler for callers. It is safe for concurrent use.
 type Relay struct {
 	policies  Policies
--- a/jay/jaystore/log.go
+++ b/jay/jaystore/log.go
@@ -50,6 +50,8 @@
 	TopicDuty  Topic = "duty"
 	TopicUsage Topic = "usage"
 	TopicScale Topic = "scale"
+	// TopicStreams holds the versions of upstreams that began streams. It is a Log.
+	TopicStreams Topic = "streams"
 )
 
 // Reader reads keyed topics.
@@ -63,6 +65,15 @@
 	Read(ctx context.Context, topic Topic, from Position, interrupt <-chan struct{}) (records []Record, next Position, err error)
 }
 
+// Log is a topic without keys, whose records expire.
+type Log interface {
+	// Append appends records, all or none of them.
+	Append(ctx context.Context, topic Topic, records [][]byte) error
+	// ReadLog returns the records from a position on and the position after them, without waiting. NoPosition selects
+	// the oldest record that is kept. The error is of KindExpired if the store does not have the position.
+	ReadLog(ctx context.Context, topic Topic, from Position) (records [][]byte, next Position, err error)
+}
+
 // Writer writes records of keyed topics.
 type Writer interface {
 	// Put appends a record, which replaces the previous one of its key, and returns its offset.
