Keep software versions apart in placement

A request may be pinned to a version of upstreams; where none of that version takes work, the error says so at once. KV caches stay within a version, since nothing says that another one can use them: prefixes are fetched from engines of the same version only, a prompt is decoded at the version that prefilled it, and a prefill engine takes prompts only while a decode engine of its version does. An upstream whose version changes under its ID starts anew, as after a restart.

--- a/jay/jayplace/hold.go
+++ b/jay/jayplace/hold.go
@@ -99,13 +99,20 @@
 // noneError is the cause of an error of KindNone.
 type noneError struct {
 	upstreams int
+	// pinned is set if only upstreams of a version count.
+	pinned  bool
+	version string
 	// wait is the time until the first busy upstream gets requests again, 0 if none is busy.
 	wait time.Duration
 }
 
 // Error returns the reason.
 func (e *noneError) Error() string {
-	reason := "none of the " + strconv.Itoa(e.upstreams) + " upstreams of the service takes work"
+	reason := "none of the " + strconv.Itoa(e.upstreams) + " upstreams of the service"
+	if e.pinned {
+		reason += " at version " + strconv.Quote(e.version)
+	}
+	reason += " takes work"
 	if e.wait > 0 {
 		reason += ", the first one again in " + e.wait.Round(time.Millisecond).String()
 	}
@@ -117,10 +124,14 @@
 	return e.wait
 }
 
-// none returns the cause why no upstream of a service takes a request.
-func (t *Table) none(now time.Time, service string) *noneError {
-	e := &noneError{upstreams: len(t.services[service])}
-	for _, u := range t.services[service] {
+// none returns the cause why no upstream of the service takes a request.
+func (t *Table) none(now time.Time, w Work) *noneError {
+	e := &noneError{pinned: w.Pinned, version: w.Version}
+	for _, u := range t.services[w.Service] {
+		if !w.allows(u) {
+			continue
+		}
+		e.upstreams++
 		h := t.holds[u.spec.ID]
 		if !h.of(u.spec) || now.Before(h.leavingUntil) || !now.Before(h.busyUntil) {
 			continue
--- a/jay/jayplace/home.go
+++ b/jay/jayplace/home.go
@@ -32,8 +32,8 @@
 // engine would be free sooner: at peak load, prefilling a shared prefix again there costs more
 // than waiting.
 func (t *Table) choosePrompt(now time.Time, candidates []*upstream, w Work) (Choice, error) {
-	if !slices.ContainsFunc(candidates, func(u *upstream) bool { return u.spec.Stage != jayfleet.StagePrefill }) {
-		return Choice{}, jayerror.Wrap("choose", KindNone, t.none(now, w.Service))
+	if candidates = withDecoder(candidates); len(candidates) == 0 {
+		return Choice{}, jayerror.Wrap("choose", KindNone, t.none(now, w))
 	}
 	if !w.Held {
 		t.mix.add(now, w)
@@ -50,12 +50,26 @@
 	}, nil
 }
 
+// withDecoder returns the candidates without the prefill engines of versions that no candidate decodes.
+func withDecoder(candidates []*upstream) []*upstream {
+	decoded := make(map[string]bool, 1)
+	for _, u := range candidates {
+		if u.spec.Stage != jayfleet.StagePrefill {
+			decoded[u.spec.Version] = true
+		}
+	}
+	return slices.DeleteFunc(candidates, func(u *upstream) bool { return !decoded[u.spec.Version] })
+}
+
 // DecodeUpstream returns the decode engine that fetches the KV cache of a prompt from its
-// prefill engine and generates the answer.
+// prefill engine and generates the answer. Versions do not take over each other's KV caches.
 func (t *Table) DecodeUpstream(now time.Time, w Work, prefillEngine jayfleet.Upstream) (jayfleet.Upstream, error) {
+	if !w.Pinned {
+		w.Pinned, w.Version = true, prefillEngine.Version
+	}
 	engine := t.leastBusyDecoder(now, t.candidates(now, w), w, prefillEngine)
 	if engine == nil {
-		return jayfleet.Upstream{}, jayerror.Wrap("host", KindNone, t.none(now, w.Service))
+		return jayfleet.Upstream{}, jayerror.Wrap("host", KindNone, t.none(now, w))
 	}
 	// A decode engine caches the prefixes that it fetches like those that it prefills.
 	t.markCached(now, engine, w.Prefix)
@@ -76,13 +90,13 @@
 	return best
 }
 
-// leastBusyDecoder returns the least busy decode engine of the prefill engine's zone or, if
+// leastBusyDecoder returns the least busy decode engine of the prefill engine's version, of its zone or, if
 // that one is too busy, of all zones.
 func (t *Table) leastBusyDecoder(now time.Time, candidates []*upstream, w Work, prefillEngine jayfleet.Upstream) *upstream {
 	var best *upstream
 	least, id := math.Inf(1), xxhash.Sum64String(w.ID)
 	for _, u := range candidates {
-		if u.spec.Stage == jayfleet.StagePrefill {
+		if u.spec.Stage == jayfleet.StagePrefill || u.spec.Version != prefillEngine.Version {
 			continue
 		}
 		cost := float64(u.busy(now)) + float64(u.queuedTokens())/tokensPerSlot + tieBreak(id, u)
--- a/jay/jayplace/predict.go
+++ b/jay/jayplace/predict.go
@@ -101,12 +101,12 @@
 	return e.source.spec.Address
 }
 
-// source returns the engine from which another engine fetches a prefix the fastest, or nil if
-// none is known to have cached it.
+// source returns the engine of the same version from which another engine fetches a prefix the fastest, or nil
+// if none is known to have cached it.
 func (t *Table) source(now time.Time, to *upstream, w Work, prefix uint32) *upstream {
 	var best *upstream
 	for _, u := range t.services[w.Service] {
-		if u == to || now.Before(u.ejectedUntil) || t.held(now, u) || !u.cache.holds(now, prefix) {
+		if u == to || u.spec.Version != to.spec.Version || now.Before(u.ejectedUntil) || t.held(now, u) || !u.cache.holds(now, prefix) {
 			continue
 		}
 		if best == nil || transferTime(w.PrefixTokens, to, u) < transferTime(w.PrefixTokens, to, best) {
--- a/jay/jayplace/table.go
+++ b/jay/jayplace/table.go
@@ -53,7 +53,7 @@
 	clear(t.services)
 	for _, spec := range list {
 		u, ok := t.upstreams[spec.ID]
-		if !ok || u.spec.Born != spec.Born || u.spec.Address != spec.Address {
+		if !ok || u.spec.Born != spec.Born || u.spec.Address != spec.Address || u.spec.Version != spec.Version {
 			u = newUpstream(spec)
 			u.pace.pending = jaypace.ReasonStarted
 			if ok {
@@ -79,7 +79,7 @@
 func (t *Table) Choose(now time.Time, w Work) (Choice, error) {
 	candidates := t.candidates(now, w)
 	if len(candidates) == 0 {
-		return Choice{}, jayerror.Wrap("choose", KindNone, t.none(now, w.Service))
+		return Choice{}, jayerror.Wrap("choose", KindNone, t.none(now, w))
 	}
 	if w.Prompt {
 		return t.choosePrompt(now, candidates, w)
@@ -97,7 +97,7 @@
 	decodes := false
 	for _, u := range all {
 		switch {
-		case w.Avoid[u.spec.ID], t.held(now, u):
+		case !w.allows(u), w.Avoid[u.spec.ID], t.held(now, u):
 		case now.Before(u.ejectedUntil), t.limited(now, u, w):
 			avoided = append(avoided, u)
 		default:
--- a/jay/jayplace/track.go
+++ b/jay/jayplace/track.go
@@ -67,7 +67,9 @@
 	if done {
 		u.pacePrefill(now, c)
 		u.recordPrefill(now, c)
-		t.markCached(now, u, prefix)
+		if c.Upstream.Version == u.spec.Version {
+			t.markCached(now, u, prefix)
+		}
 	}
 }
 
--- a/jay/jayplace/work.go
+++ b/jay/jayplace/work.go
@@ -48,6 +48,14 @@
 	Avoid map[string]bool
 	// Held is set if the request has been placed before and was held since: its demand counts once.
 	Held bool
+	// Pinned is set if only upstreams of a version may take the request, which Version names.
+	Pinned  bool
+	Version string
+}
+
+// allows reports whether an upstream has a version that may take the request.
+func (w Work) allows(u *upstream) bool {
+	return !w.Pinned || u.spec.Version == w.Version
 }
 
 // Choice is the upstream chosen for a request, with the expected cost.
