Keep a stream at its software version within a response

What callers saw: a stream whose engine broke off after the first events went on, within the same response, at an engine of another software version, and ended as complete.

Cause: attempts after the first event were placed like the first one.

Change: once an event was forwarded, further attempts are pinned to the version of the upstream that generated it. Where none of that version takes work, the response ends at once as broken, so that the caller can take the stream up again. Before the first event a stream may begin anywhere. The logs of requests name the version.

--- a/jay/jayrelay/answer.go
+++ b/jay/jayrelay/answer.go
@@ -58,7 +58,7 @@
 
 // logFailure logs a request that ended without an upstream's response.
 func (x *exchange) logFailure(err error) {
-	x.log.With(x.placementFields()...).With(x.accountFields()...).Info("request not served",
+	x.log.With(x.placementFields()...).With(x.accountFields()...).With(x.pinFields()...).Info("request not served",
 		"request", x.call.ID, "route", x.route.Name, "service", x.service, "policy", x.version,
 		"upstreams", x.tried, "runs", x.runs, "sends", x.sends, "first", x.firstEventAfter, "pause", x.longestPause, "took", time.Since(x.began), "left", x.timeLeft(),
 		"parts", x.promptParts(), "error", err)
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -290,6 +290,9 @@
 	// firstEventAfter and latestEventAfter are the times from the request's arrival to the first and the
 	// latest event of a stream, 0 before the first. longestPause is the longest time between two events.
 	firstEventAfter, latestEventAfter, longestPause time.Duration
+	// pinned is set once the stream may go on only at upstreams of a version, which is pinnedVersion.
+	pinned        bool
+	pinnedVersion string
 	// headerSent is set once the response header has been sent to the caller.
 	headerSent bool
 	// begun is set once the request has been counted for its account.
@@ -413,6 +416,7 @@
 	account := x.identity.account
 	w := jayplace.Work{
 		ID: x.call.ID, Service: x.service, Account: account.Name, Priority: account.PriorityOr(x.route.Priority), Target: x.route.Target, Avoid: x.avoid,
+		Pinned: x.pinned, Version: x.pinnedVersion,
 	}
 	if p := x.call.Prompt; p != nil && x.route.Prompt {
 		w.Prompt, w.Parts = true, p.Parts
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -148,7 +148,7 @@
 	if s.started {
 		s.series.Observe("first_event_seconds", s.firstEventAfter, jaymetric.Label{Name: "route", Value: s.route.Name})
 	}
-	s.log.With(s.placementFields()...).With(s.accountFields()...).Log(ctx, jaysink.LevelRoutine, "request served", jaysink.KeyRequest, s.call.ID,
+	s.log.With(s.placementFields()...).With(s.accountFields()...).With(s.pinFields()...).Log(ctx, jaysink.LevelRoutine, "request served", jaysink.KeyRequest, s.call.ID,
 		"route", s.route.Name, "service", s.service, "policy", s.version, "parts", s.promptParts(), "sends", s.sends, "first", s.firstEventAfter,
 		"target", s.route.Target, "pause", s.longestPause, "gap", s.route.Gap, "took", time.Since(s.began))
 }
@@ -192,7 +192,7 @@
 		if events == 0 {
 			onFirstEvent()
 		}
-		if err := s.forwardEvent(e, source); err != nil {
+		if err := s.forwardEvent(e, source, resp.upstream); err != nil {
 			outcome := jayplace.OutcomeCallerGone
 			if jayerror.Is(err, KindEnded) {
 				outcome = jayplace.OutcomeEnded
@@ -247,11 +247,12 @@
 	return nil
 }
 
-// forwardEvent writes an event unless one with the same or a higher ID was sent in this response.
-func (s *stream) forwardEvent(e event, source *eventSource) error {
+// forwardEvent writes an event of an upstream unless one with the same or a higher ID was sent in this response.
+func (s *stream) forwardEvent(e event, source *eventSource, from jayfleet.Upstream) error {
 	elapsed := time.Since(s.began)
 	if !s.started {
 		s.started, s.firstEventAfter, s.latestEventAfter = true, elapsed, elapsed
+		s.pinStarted(from)
 		s.recordBegun(time.Now())
 		s.recordPrefilled(s.firstEventAfter)
 	}
