Keep a stream that a caller takes up again at its software version

Cause: neither Resumes nor the version of an entry counted.

Change: requests for resumable streams that name an event or an attempt are pinned, before they are placed, to the version that Options.Streams returns. If it cannot be known, the request is refused at once as not run, with the time after which to try again. Streams is told at the first event which version began a stream, under the attempt that callers name later, and at the end whether the response was complete.

Failed before, with the knowledge not used: TestResumedStreamStaysAtItsVersion resumed: sends = [1 0], want [0 1] resumed, version not known: answer = 200 OK; want 503; sends = [1 0], want [0 0] resumed, version does not serve: answer = 200 OK; want 503; sends = [1 0], want [0 0] resumed, broken before an event: answer = 200 OK; sends = [1 1], want [1 0]

--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -140,8 +140,9 @@
 	others   func() []string
 	usage    Usage
 	demand   Demand
-	// admission is nil if no requests are held.
+	// admission is nil if no requests are held, streams if nothing is known of the streams of other responses.
 	admission Admission
+	streams   Streams
 	// stop is the plan of the planned stop, nil before it begins.
 	stop atomic.Pointer[jaystop.Plan]
 	// endAll ends all requests in progress, and onEnd calls a function when that happens.
@@ -174,6 +175,8 @@
 	Demand Demand
 	// Admission holds requests of client accounts, nil if none are held.
 	Admission Admission
+	// Streams knows the versions that began streams, nil if they are only known within a response.
+	Streams Streams
 }
 
 // New returns a relay with the given dependencies.
@@ -182,7 +185,7 @@
 	r := &Relay{
 		policies: options.Policies, confirmer: options.Confirmer, apply: options.Apply, unknownKeys: jayaccount.NewRecent(), placer: options.Placer, budget: options.Budget, links: options.Links,
 		dialect: options.Dialect, metrics: options.Metrics, series: options.Series, log: options.Log, memory: options.Memory, others: options.Others,
-		usage: options.Usage, demand: options.Demand, admission: options.Admission,
+		usage: options.Usage, demand: options.Demand, admission: options.Admission, streams: options.Streams,
 		endAll: endAll, onEnd: func(f func()) func() bool { return context.AfterFunc(ending, f) },
 	}
 	if r.confirmer == nil {
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -25,9 +25,17 @@
 func (x *exchange) serveStream(ctx context.Context) {
 	x.budget.Earn(x.service)
 	s := &stream{exchange: x, lastEventID: x.call.LastEventID}
+	if err := s.pinResumed(ctx); err != nil {
+		x.fail(err)
+		return
+	}
+	complete := false
+	// Failures abort the handler.
+	defer func() { s.endKnown(complete) }()
 	for {
 		f := s.attempt(ctx)
 		if f == nil {
+			complete = true
 			s.recordServed(ctx)
 			return
 		}
