Begin a stream at another version if nobody decodes its prompt

A prefill ties a prompt to decode engines of the same version. If none of them is left once the prefill has ended, a stream that has not begun was refused although another version serves; now it is placed again, at the cost of the retry budget for the second prefill. A pinned one is refused as before.

Failed before: TestPrefillIsRepeatedAtAnotherVersion/new answer = 503 Service Unavailable, Retry-After 0.300; want 200 engine of the other version got 0 requests

--- a/jay/jayrelay/pin.go
+++ b/jay/jayrelay/pin.go
@@ -5,6 +5,7 @@
 
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jayplace"
 )
 
 // pinResumed pins a stream that the caller takes up again to the version that began it. An error means that the
@@ -32,6 +33,15 @@
 	}
 }
 
+// noDecoder returns the failure of an attempt whose prompt no upstream of its version decodes. A stream that has not
+// begun may be prefilled again at another version.
+func (s *stream) noDecoder(err error) *failure {
+	if s.pinned || !jayerror.Is(err, jayplace.KindNone) {
+		return &failure{cause: err, noUpstream: true}
+	}
+	return &failure{cause: err, outcome: jayplace.OutcomeWithdrawn}
+}
+
 // endKnown records the end of the response to a stream that began.
 func (s *stream) endKnown(complete bool) {
 	if s.started && s.streamsKnown() {
--- a/jay/jayrelay/stream.go
+++ b/jay/jayrelay/stream.go
@@ -125,7 +125,7 @@
 	for {
 		upstream, err := s.placer.DecodeUpstream(ctx, s.work(), choice.Upstream)
 		if err != nil {
-			return nil, &failure{cause: err, noUpstream: true}
+			return nil, s.noDecoder(err)
 		}
 		s.decodeUpstream = upstream
 		if resp, f := s.send(ctx, upstream, send); f == nil || f.outcome != jayplace.OutcomeWithdrawn {
