Test that held requests stay at their software version

Admission places a held request again with the work that it was given, so the pin stays. With the pin taken out there, the test fails: sent to another engine at once.

--- a/jay/jayedge/admission_test.go
+++ b/jay/jayedge/admission_test.go
@@ -229,3 +229,40 @@
 		}
 	})
 }
+
+// Guards against a held request that is sent to another software version than the one it is pinned to.
+func TestHeldRequestStaysAtItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAdmissionFixture(t)
+		_ = f.placer.owner.Call(t.Context(), func(s *placerState) {
+			list := []jayfleet.Upstream{{ID: "e", Service: "s", Address: "e", Stage: jayfleet.StageDecode, Slots: 64, Version: "v1"}}
+			for _, id := range []string{"f", "g", "h", "i"} {
+				list = append(list, jayfleet.Upstream{ID: id, Service: "s", Address: id, Stage: jayfleet.StageDecode, Slots: 64, Version: "v2"})
+			}
+			s.table.Configure(list)
+		})
+		f.work.Prefix = "q"
+		if other, err := f.placer.Choose(t.Context(), f.work); err != nil || other.Upstream.Version != "v2" {
+			t.Fatalf("home of the prefix is %+v, %v; the test needs one of v2", other.Upstream, err)
+		}
+		f.work.Pinned, f.work.Version = true, "v1"
+		choice, _ := f.placer.Choose(t.Context(), f.work)
+		for range 30 {
+			f.placer.StartPrefill(choice)
+		}
+		busy, _ := f.placer.Choose(t.Context(), f.work)
+		release := time.AfterFunc(time.Second, func() {
+			for range 30 {
+				f.placer.EndPrefill(choice, "p", false)
+			}
+		})
+		defer release.Stop()
+		began := time.Now()
+		r := jayadmit.Request{Service: "s", Account: "a", Target: time.Second, Deadline: began.Add(6 * time.Second), Timeout: 6 * time.Second, Tokens: 4000}
+		f.send(func(s *admissionState) { s.queue.Record(time.Now(), r) })
+		got, _, err := f.Admit(t.Context(), r, f.work, busy)
+		if waited := time.Since(began); err != nil || got.Upstream.ID != "e" || waited < 500*time.Millisecond {
+			t.Errorf("sent to %q after %s, %v; want e", got.Upstream.ID, waited, err)
+		}
+	})
+}
