Take streams up again at the service that began them

A route that is split between services chooses one by the ID of the attempt, and each try of a caller has its own. A stream that was taken up again went to another service in as many cases as the weights say; with pins it would be refused there, since that service did not begin it. The attempt that brought the first event now selects the service. If the split has changed since, the stream may be refused.

Failed before: TestResumedStreamStaysAtItsService call = "version s2 r0", want "version s r0" (and r2, r4, r5, ...)

--- a/jay/jayrelay/pin.go
+++ b/jay/jayrelay/pin.go
@@ -6,6 +6,7 @@
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jayfleet"
 	"jayfield.example/jay/jayplace"
+	"jayfield.example/jay/jaytraffic"
 )
 
 // pinResumed pins a stream that the caller takes up again to the version that began it. An error means that the
@@ -55,12 +56,13 @@
 	return s.streams != nil && s.route.Resumable
 }
 
-// streamID returns the ID of the attempt that brought the first event of the stream.
-func (s *stream) streamID() string {
-	if s.call.Resumes != "" {
-		return s.call.Resumes
+// streamID returns the ID of the attempt that brought the first event of the stream that a caller takes up again, or
+// else that of the request.
+func (x *exchange) streamID() string {
+	if x.call.Resumes != "" && x.route.Kind == jaytraffic.KindStream && x.route.Resumable {
+		return x.call.Resumes
 	}
-	return s.call.ID
+	return x.call.ID
 }
 
 // pinFields returns the log fields of the version that the stream is pinned to.
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -337,7 +337,7 @@
 		return x.invalidRequest(http.StatusNotFound, errors.Errorf("no route of version %d has the host and path", policy.Version))
 	}
 	x.route = route
-	x.service = route.Service(x.call.ID)
+	x.service = route.Service(x.streamID())
 	x.demanded.scaled = x.isScaled(policy)
 	x.deadline = x.began.Add(x.timeout())
 	return nil
