Decide which version began a stream

While several versions of a service are in play, instances record the streams in progress in a log of the store; while there is only one, that one began all. An instance that has just started also believes the log on versions that have left, since the history of the registry may be shorter than streams last.

--- /dev/null
+++ b/jay/jaystream/table.go
@@ -0,0 +1,384 @@
+package jaystream
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxRemembered is the largest number of own streams, and of those of the log, that are remembered.
+	maxRemembered = 200_000
+	// maxReads is how often the log is read for one look-up.
+	maxReads = 3
+)
+
+// Table is what one instance knows of the versions of services and of the streams that they began. It is not safe for
+// concurrent use.
+type Table struct {
+	window time.Duration
+	// loaded is when the registry was first read, zero before.
+	loaded time.Time
+	// complete is set once the log has been read up to its end.
+	complete bool
+	services map[uint64]*service
+	// own are the streams that this instance began, unrecorded those of them that are not in the log.
+	own, unrecorded map[Key]*stream
+	// read are the streams of the log, and order their keys, the oldest first.
+	read    map[Key]*stream
+	order   []Key
+	dropped int
+}
+
+// service is what is known of the versions of a service.
+type service struct {
+	// name is empty if only records of the log name the service.
+	name       string
+	registered map[string]bool
+	// seen holds when versions were last registered, recorded when those were read that only the log shows.
+	seen, recorded map[string]time.Time
+	// several is set if several versions were in play at the last tick, settled if the log is to state that only one is left.
+	several, settled bool
+}
+
+// stream is a stream that began.
+type stream struct {
+	service uint64
+	version string
+	// ambiguous is set if two versions began streams under the same key.
+	ambiguous bool
+	// open is the number of responses in progress.
+	open int
+	// at is when the last response ended, or when the record was read.
+	at time.Time
+}
+
+// Change is a service of which several versions came into play, or of which only one is left.
+type Change struct {
+	Service  string
+	Versions []string
+	Several  bool
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		window: minWindow, services: make(map[uint64]*service),
+		own: make(map[Key]*stream), unrecorded: make(map[Key]*stream), read: make(map[Key]*stream),
+	}
+}
+
+// SetTimeout sets the longest timeout of a stream. A shorter one than before has no effect, since streams may have begun before.
+func (t *Table) SetTimeout(timeout time.Duration) {
+	t.window = max(t.window, Window(timeout))
+}
+
+// Observe processes a version of a service in a record of the registry, also one that is out of date.
+func (t *Table) Observe(now time.Time, name, version string) {
+	t.named(name).seen[version] = now
+}
+
+// SetRegistered replaces the registered versions of all services.
+func (t *Table) SetRegistered(now time.Time, versions map[string][]string) {
+	if t.loaded.IsZero() {
+		t.loaded = now
+	}
+	for _, s := range t.services {
+		for version := range s.registered {
+			s.seen[version] = now
+		}
+		clear(s.registered)
+	}
+	for name, list := range versions {
+		s := t.named(name)
+		for _, version := range list {
+			s.registered[version] = true
+		}
+	}
+}
+
+// Versions returns the versions of a service that are in play, in the order of their names.
+func (t *Table) Versions(now time.Time, name string) []string {
+	return t.inPlay(now, serviceHash(name))
+}
+
+func (t *Table) inPlay(now time.Time, hash uint64) []string {
+	s, ok := t.services[hash]
+	if !ok {
+		return nil
+	}
+	versions := maps.Clone(s.registered)
+	for _, times := range []map[string]time.Time{s.seen, s.recorded} {
+		for version, at := range times {
+			if now.Sub(at) <= t.window {
+				versions[version] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(versions))
+}
+
+func (t *Table) named(name string) *service {
+	s := t.service(serviceHash(name))
+	s.name = name
+	return s
+}
+
+func (t *Table) service(hash uint64) *service {
+	s, ok := t.services[hash]
+	if !ok {
+		s = &service{registered: make(map[string]bool), seen: make(map[string]time.Time), recorded: make(map[string]time.Time)}
+		t.services[hash] = s
+	}
+	return s
+}
+
+// Begin processes a stream whose first event came from a version.
+func (t *Table) Begin(now time.Time, name, attempt, version string) {
+	key := NewKey(name, attempt)
+	s, ok := t.own[key]
+	if !ok && len(t.own) >= maxRemembered {
+		t.dropped++
+		return
+	}
+	if !ok {
+		s = &stream{service: serviceHash(name), version: version}
+		t.own[key], t.unrecorded[key] = s, s
+	}
+	s.ambiguous = s.ambiguous || s.version != version
+	s.open++
+	s.at = now
+}
+
+// End processes the end of a response to a stream that began, and reports whether its record is urgent: the caller may
+// take the stream up at another instance at once.
+func (t *Table) End(now time.Time, name, attempt string, complete bool) bool {
+	key := NewKey(name, attempt)
+	s, ok := t.own[key]
+	if !ok || s.open == 0 {
+		return false
+	}
+	s.open--
+	s.at = now
+	if complete && s.open == 0 {
+		t.forget(key)
+		return false
+	}
+	return t.unrecorded[key] != nil && len(t.inPlay(now, s.service)) > 1
+}
+
+func (t *Table) forget(key Key) {
+	delete(t.own, key)
+	delete(t.unrecorded, key)
+}
+
+// Tick drops what is older than the window, and returns the services whose number of versions in play has changed to
+// or from one.
+func (t *Table) Tick(now time.Time) []Change {
+	t.expireStreams(now)
+	var changes []Change
+	for hash, s := range t.services {
+		for _, times := range []map[string]time.Time{s.seen, s.recorded} {
+			maps.DeleteFunc(times, func(_ string, at time.Time) bool { return now.Sub(at) > t.window })
+		}
+		versions := t.inPlay(now, hash)
+		if several := len(versions) > 1; several != s.several {
+			s.several, s.settled = several, len(versions) == 1
+			changes = append(changes, Change{Service: s.name, Versions: versions, Several: several})
+		}
+		if len(versions) == 0 {
+			delete(t.services, hash)
+		}
+	}
+	return changes
+}
+
+func (t *Table) expireStreams(now time.Time) {
+	for key, s := range t.own {
+		if s.open > 0 || now.Sub(s.at) <= t.window {
+			continue
+		}
+		if t.unrecorded[key] != nil && len(t.inPlay(now, s.service)) > 1 {
+			t.dropped++
+		}
+		t.forget(key)
+	}
+	for len(t.order) > 0 && (len(t.order) > maxRemembered || now.Sub(t.read[t.order[0]].at) > t.window) {
+		delete(t.read, t.order[0])
+		t.order = t.order[1:]
+	}
+}
+
+// Rewind processes that the store came back from a copy, which may lack records of this instance.
+func (t *Table) Rewind() { maps.Copy(t.unrecorded, t.own) }
+
+// Dropped returns the number of streams that were dropped without a record although several versions were in play, or of
+// which there were too many.
+func (t *Table) Dropped() int { return t.dropped }
+
+// Due returns what is to be appended to the log, nil if there is nothing.
+func (t *Table) Due(now time.Time) []Group {
+	type kind struct {
+		service uint64
+		version string
+	}
+	count, due := 0, make(map[kind][]Key)
+	several := make(map[uint64]bool)
+	for hash := range t.services {
+		several[hash] = len(t.inPlay(now, hash)) > 1
+	}
+	for key, s := range t.unrecorded {
+		if several[s.service] && count < maxBatch {
+			due[kind{s.service, s.version}] = append(due[kind{s.service, s.version}], key)
+			count++
+		}
+	}
+	var groups []Group
+	for k, keys := range due {
+		groups = append(groups, Group{Service: k.service, Version: k.version, Streams: keys})
+	}
+	for hash, s := range t.services {
+		if versions := t.inPlay(now, hash); s.settled && len(versions) == 1 {
+			groups = append(groups, Group{Service: hash, Version: versions[0]})
+		}
+	}
+	return groups
+}
+
+// Appended processes that groups are in the log.
+func (t *Table) Appended(groups []Group) {
+	for _, g := range groups {
+		for _, key := range g.Streams {
+			delete(t.unrecorded, key)
+		}
+		if s, ok := t.services[g.Service]; ok && len(g.Streams) == 0 {
+			s.settled = false
+		}
+	}
+}
+
+// Read processes groups that were read from the log, in their order.
+func (t *Table) Read(now time.Time, groups []Group) {
+	// The registry shows an instance that has run for longer than the window all versions in play.
+	young := !t.mature(now)
+	for _, g := range groups {
+		if young && len(g.Streams) == 0 {
+			clear(t.service(g.Service).recorded)
+		}
+		if young {
+			t.service(g.Service).recorded[g.Version] = now
+		}
+		for _, key := range g.Streams {
+			t.remember(now, key, g)
+		}
+	}
+}
+
+func (t *Table) remember(now time.Time, key Key, g Group) {
+	if s, ok := t.read[key]; ok {
+		s.ambiguous = s.ambiguous || s.version != g.Version
+		return
+	}
+	t.read[key] = &stream{service: g.Service, version: g.Version, at: now}
+	t.order = append(t.order, key)
+}
+
+// ReadAll processes that the log was read up to its end.
+func (t *Table) ReadAll() { t.complete = true }
+
+// mature reports whether the instance has followed the registry for longer than a version remains in play.
+func (t *Table) mature(now time.Time) bool {
+	return !t.loaded.IsZero() && now.Sub(t.loaded) > t.window
+}
+
+// Step is what a look-up needs next.
+type Step string
+
+// Steps of a look-up.
+const (
+	// StepConfirm reads the registry up to its end.
+	StepConfirm Step = "confirm"
+	// StepRead reads the log up to its end.
+	StepRead Step = "read"
+	// StepDone ends the look-up.
+	StepDone Step = "done"
+)
+
+// Result is how a look-up ended.
+type Result string
+
+// Results of look-ups.
+const (
+	// ResultOwn is a stream of this instance, ResultRecorded one of the log.
+	ResultOwn      Result = "own"
+	ResultRecorded Result = "recorded"
+	// ResultOnly means that only one version is in play, ResultUnconfirmed that the store did not confirm that.
+	ResultOnly        Result = "only"
+	ResultUnconfirmed Result = "unconfirmed"
+	ResultUnknown     Result = "unknown"
+)
+
+// Progress is what has been done for a look-up.
+type Progress struct {
+	// Confirmed is set once the registry was read, or the store did not answer, which sets Unconfirmed too.
+	Confirmed, Unconfirmed bool
+	// Reads is the number of reads of the log.
+	Reads int
+	// Failed is set if the store did not answer a read of the log.
+	Failed bool
+}
+
+// Answer is the state of a look-up.
+type Answer struct {
+	Step    Step
+	Result  Result
+	Version string
+}
+
+// LookUp returns the version that began a stream, or what is to be done to know it.
+func (t *Table) LookUp(now time.Time, name, attempt string, p Progress) Answer {
+	unknown := Answer{Step: StepDone, Result: ResultUnknown}
+	s, result := t.find(name, attempt)
+	if s != nil && s.ambiguous {
+		return unknown
+	}
+	if s != nil {
+		return Answer{StepDone, result, s.version}
+	}
+	versions := t.Versions(now, name)
+	known := !t.loaded.IsZero() && (t.complete || t.mature(now))
+	if known && len(versions) == 1 {
+		return p.only(versions[0])
+	}
+	if p.Failed || p.Reads >= maxReads || known && attempt == "" {
+		return unknown
+	}
+	return Answer{Step: StepRead}
+}
+
+// only returns the answer if one version only is in play.
+func (p Progress) only(version string) Answer {
+	switch {
+	case !p.Confirmed:
+		return Answer{Step: StepConfirm}
+	case p.Unconfirmed:
+		return Answer{StepDone, ResultUnconfirmed, version}
+	}
+	return Answer{StepDone, ResultOnly, version}
+}
+
+// find returns a stream of this instance or of the log, nil if neither has it.
+func (t *Table) find(name, attempt string) (*stream, Result) {
+	if attempt == "" {
+		return nil, ResultUnknown
+	}
+	key := NewKey(name, attempt)
+	own, read := t.own[key], t.read[key]
+	switch {
+	case own != nil && read != nil && own.version != read.version:
+		return &stream{ambiguous: true}, ResultUnknown
+	case own != nil:
+		return own, ResultOwn
+	}
+	return read, ResultRecorded
+}
