Record streams in the store and look them up

The placer passes the versions of all entries of the registry to a task that records streams in the topic of streams while several versions of their service are in play, and looks up those that callers take up again: in its own memory, by reading the registry up to its end while one version only is known, and else in the topic. Requests that wait share the reads. The relay does not use it yet.

In the tests, the store of the duty and that of an outage get a log, which they do not use.

--- a/jay/jayedge/adapter.go
+++ b/jay/jayedge/adapter.go
@@ -16,6 +16,7 @@
 type Store interface {
 	jaystore.Reader
 	jaystore.Writer
+	jaystore.Log
 }
 
 // Adapter translates between the platform's formats and the product's types.
--- a/jay/jayedge/contact.go
+++ b/jay/jayedge/contact.go
@@ -137,3 +137,19 @@
 	end(err)
 	return err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
+
+// Append appends records to a topic without keys.
+func (s observedStore) Append(ctx context.Context, topic jaystore.Topic, records [][]byte) error {
+	end := s.contact.begin(ctx, false)
+	err := s.Store.Append(ctx, topic, records)
+	end(err)
+	return err //nolint:wrapcheck // The store's errors are those of jaystore.
+}
+
+// ReadLog returns the records of a topic without keys from a position on.
+func (s observedStore) ReadLog(ctx context.Context, topic jaystore.Topic, from jaystore.Position) ([][]byte, jaystore.Position, error) {
+	end := s.contact.begin(ctx, false)
+	records, next, err := s.Store.ReadLog(ctx, topic, from)
+	end(err)
+	return records, next, err //nolint:wrapcheck // The store's errors are those of jaystore.
+}
--- a/jay/jayedge/duty_test.go
+++ b/jay/jayedge/duty_test.go
@@ -34,6 +34,7 @@
 
 // dutyClient is an instance's client of the store.
 type dutyClient struct {
+	jaystore.Log
 	*dutyStore
 
 	name string
--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -89,6 +89,8 @@
 	followers *jaystore.Group
 	// contact is the instance's contact with the store.
 	contact *contact
+	// streams knows the versions of upstreams that began streams.
+	streams *streams
 	// memory limits what is buffered of requests and responses.
 	memory  *jaylimit.Memory
 	pool    *jaylink.Pool
@@ -137,6 +139,10 @@
 	polls := jaystore.Polls{jaystore.TopicPolicy: policy.Wait, jaystore.TopicMembers: memberPollWait}
 	e.contact = newContact()
 	store := Store(observedStore{Store: adapter.Store(settings.Store, polls, e.series), contact: e.contact})
+	e.streams = newStreams(streamOptions{
+		adapter: adapter, store: store, instances: func() int { return len(*e.members.Load()) + 1 }, run: e.group.Go, series: e.series, log: log,
+	})
+	e.placer.streams = e.streams
 	if settings.Provider.hasDuties() {
 		provider := adapter.Provider(settings.Provider.Address, e.series)
 		e.duty = newDuty(e.self, settings.Provider.Lease, jayboot.NewClock().Now, store, e.contact, provider, log)
@@ -153,6 +159,7 @@
 	e.store, e.registry = store, jaystore.NewMirror(e.placer, jaystore.WithHistory(newRegistryHistory(adapter), jayfleet.Retention))
 	e.follow(store, jaystore.TopicUpstreams, e.registry, registryPollInterval, registry)
 	e.startDuties(store)
+	e.group.Go(e.streams.Run)
 	e.group.Every(sweepInterval, func(context.Context) { e.pool.Sweep(time.Now()) })
 	log.Info("instance started", "instance", e.self.Name, "incarnation", e.self.Incarnation, "zone", e.self.Zone,
 		"caller", settings.Caller, "store", settings.Store)
@@ -405,4 +412,5 @@
 // policyChanged applies the limits of a policy that has just come into force.
 func (e *Edge) policyChanged(policy *jaytraffic.Policy) {
 	e.server.Configure(policy.Limits)
+	e.streams.setPolicy(policy)
 }
--- a/jay/jayedge/outage_test.go
+++ b/jay/jayedge/outage_test.go
@@ -131,7 +131,8 @@
 	store := struct {
 		jaystore.Reader
 		jaystore.Writer
-	}{s, s}
+		jaystore.Log
+	}{s, s, nil}
 	e.follow(store, jaystore.TopicMembers, jaystore.NewMirror(roster), 0, jaystore.Freshness{MaxAge: memberMaxAge})
 	e.follow(store, jaystore.TopicPolicy, jaystore.NewMirror(ignoringConsumer{}), 0, jaystore.LongPolled(drainTime))
 	mirror := jaystore.NewMirror(p, jaystore.WithHistory(newRegistryHistory(jsonAdapter{}), jayfleet.Retention))
--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -30,6 +30,8 @@
 	loaded atomic.Bool
 	// takeWork holds the IDs of the upstreams that take new requests.
 	takeWork atomic.Pointer[map[string]bool]
+	// streams learns the versions of upstreams, nil if nothing needs them.
+	streams *streams
 }
 
 // placerState is the state that the task owns.
@@ -91,6 +93,9 @@
 			p.apply(s, record)
 		}
 		p.configure(s)
+		if p.streams != nil && len(records) > 0 {
+			p.streams.observed(records[len(records)-1].Position + 1)
+		}
 	})
 }
 
@@ -229,6 +234,10 @@
 		}
 		s.fleet.Replace(time.Now(), end, ids)
 		p.configure(s)
+		if p.streams != nil {
+			p.streams.setRegistered(s.fleet.Registered())
+			p.streams.observed(end)
+		}
 		p.loaded.Store(true)
 	})
 }
@@ -255,6 +264,9 @@
 		p.log.Warn("upstream entry malformed", "upstream", record.Key, "offset", record.Position, "error", err)
 		return
 	}
+	if p.streams != nil {
+		p.streams.observe(upstream)
+	}
 	before := s.fleet.Changes()
 	switch s.fleet.Put(time.Now(), record.Position, upstream) {
 	case jayfleet.OutcomeHeldBack:
@@ -277,6 +289,9 @@
 		return
 	}
 	s.configuredChanges = s.fleet.Changes()
+	if p.streams != nil {
+		p.streams.setRegistered(s.fleet.Registered())
+	}
 	upstreams := s.fleet.Available()
 	s.table.Configure(upstreams)
 	p.logPaces(s.table.AdvancePaces(time.Now()))
--- /dev/null
+++ b/jay/jayedge/streams.go
@@ -0,0 +1,404 @@
+package jayedge
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jaystore"
+	"jayfield.example/jay/jaystream"
+	"jayfield.example/jay/jaytraffic"
+)
+
+const (
+	// streamReadWait is how long a look-up waits for a read. A slow store answers in 240 ms, and a read that has begun
+	// before is waited for.
+	streamReadWait = 600 * time.Millisecond
+	// streamReadTimeout limits a read, which may take several calls.
+	streamReadTimeout = 5 * time.Second
+	// streamPause is the time between two reads of the log for one look-up, in which another instance may write the record.
+	streamPause = 100 * time.Millisecond
+	// streamRetry is the time between two reads of the log by an instance that has just started.
+	streamRetry = time.Second
+	// urgentParts is the number of parts of the time between two appends after which an urgent one is made.
+	urgentParts = 5
+	// fullPage is the size in bytes from which on the response to a read may lack records up to the end. It is below the
+	// size of a page by more than the size of a record.
+	fullPage = 512 << 10
+	// The delays after which a caller may try again: while records may be on their way, and while the store does not answer.
+	unknownRetryAfter    = 300 * time.Millisecond
+	unansweredRetryAfter = time.Second
+)
+
+// streamStore is the part of the store that holds the records of streams and the registry.
+type streamStore interface {
+	jaystore.Reader
+	jaystore.Log
+}
+
+// streamOptions configures streams.
+type streamOptions struct {
+	adapter Adapter
+	store   streamStore
+	// instances returns the number of instances that share the store.
+	instances func() int
+	// run runs a function in a task of the instance.
+	run    func(func(context.Context))
+	series *jaymetric.Exposition
+	log    *slog.Logger
+}
+
+// streams knows the versions of upstreams that began streams, and records those of this instance in the store. It is safe for
+// concurrent use.
+type streams struct {
+	streamOptions
+
+	// registryReads and logReads read the registry and the log up to their ends.
+	registryReads, logReads *sharedRead
+	// urgent has a value when a record should not wait for the next tick.
+	urgent chan struct{}
+
+	mu    sync.Mutex
+	table *jaystream.Table
+	// registry is the position up to which the registry was observed.
+	registry jaystore.Position
+	loaded   bool
+	// dropped is the number of dropped streams that were counted.
+	dropped int
+	// logNext is the position after the records of the log that were read. Only logReads uses it.
+	logNext jaystore.Position
+	// failing is set while appends fail. Only Run uses it.
+	failing bool
+}
+
+func newStreams(options streamOptions) *streams {
+	s := &streams{
+		streamOptions: options, urgent: make(chan struct{}, 1),
+		table: jaystream.NewTable(), registry: jaystore.NoPosition, logNext: jaystore.NoPosition,
+	}
+	s.registryReads = newSharedRead(s.readRegistry, options.run)
+	s.logReads = newSharedRead(s.readLog, options.run)
+	return s
+}
+
+// Began processes the first event of a stream.
+func (s *streams) Began(service, attempt, version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Begin(time.Now(), service, attempt, version)
+}
+
+// Ended processes the end of the response to a stream that began.
+func (s *streams) Ended(service, attempt string, complete bool) {
+	s.mu.Lock()
+	urgent := s.table.End(time.Now(), service, attempt, complete)
+	s.mu.Unlock()
+	if urgent {
+		select {
+		case s.urgent <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Version returns the version at which a stream may go on.
+func (s *streams) Version(ctx context.Context, service, attempt string) (string, error) {
+	began, p := time.Now(), jaystream.Progress{}
+	answer := s.lookUp(service, attempt, p)
+	for ; answer.Step != jaystream.StepDone && ctx.Err() == nil; answer = s.lookUp(service, attempt, p) {
+		p = s.proceed(ctx, answer.Step, p)
+	}
+	if answer.Step != jaystream.StepDone {
+		answer.Result = jaystream.ResultUnknown
+	}
+	s.series.Count("stream_lookups_total", jaymetric.Label{Name: "result", Value: string(answer.Result)})
+	if answer.Result != jaystream.ResultOwn {
+		s.log.Info("stream looked up", "service", service, "attempt", attempt, "result", answer.Result, "version", answer.Version,
+			"reads", p.Reads, "failed", p.Failed, "took", time.Since(began))
+	}
+	switch {
+	case answer.Result != jaystream.ResultUnknown:
+		return answer.Version, nil
+	case p.Failed:
+		return "", jaystream.ErrUnknown("the store does not answer", unansweredRetryAfter) //nolint:wrapcheck // An error of jaystream.
+	}
+	return "", jaystream.ErrUnknown("no record of the stream, and several versions were in play", unknownRetryAfter) //nolint:wrapcheck // As above.
+}
+
+func (s *streams) lookUp(service, attempt string, p jaystream.Progress) jaystream.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.LookUp(time.Now(), service, attempt, p)
+}
+
+// proceed carries out a step of a look-up.
+func (s *streams) proceed(ctx context.Context, step jaystream.Step, p jaystream.Progress) jaystream.Progress {
+	if step == jaystream.StepConfirm {
+		p.Confirmed, p.Unconfirmed = true, s.registryReads.wait(ctx, streamReadWait) != nil
+		return p
+	}
+	if p.Reads > 0 {
+		waitUntil(ctx, time.Now().Add(streamPause))
+	}
+	p.Reads++
+	p.Failed = s.logReads.wait(ctx, streamReadWait) != nil
+	return p
+}
+
+// Run records the streams of this instance until ctx ends.
+func (s *streams) Run(ctx context.Context) {
+	var readAt, appendedAt time.Time
+	tickAt := time.Now()
+	for ctx.Err() == nil {
+		interval := jaystream.Interval(s.instances())
+		select {
+		case <-time.After(time.Until(tickAt)):
+			tickAt = time.Now().Add(interval)
+			if s.tick() && time.Since(readAt) >= streamRetry {
+				readAt = time.Now()
+				s.logReads.request()
+			}
+		case <-s.urgent:
+			waitUntil(ctx, appendedAt.Add(interval/urgentParts))
+		case <-ctx.Done():
+			return
+		}
+		if s.append(ctx) {
+			appendedAt = time.Now()
+		}
+	}
+}
+
+// tick reports whether the log is to be read for the first time.
+func (s *streams) tick() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.table.Tick(time.Now()) {
+		message := "one software version in play"
+		if c.Several {
+			message = "several software versions in play"
+		}
+		s.log.Info(message, "service", c.Service, "versions", c.Versions)
+	}
+	dropped := s.table.Dropped()
+	s.count("dropped", dropped-s.dropped)
+	s.dropped = dropped
+	return s.loaded && !s.table.Complete(time.Now())
+}
+
+// append appends what is due, and reports whether it called the store.
+func (s *streams) append(ctx context.Context) bool {
+	s.mu.Lock()
+	groups := s.table.Due(time.Now())
+	s.mu.Unlock()
+	if len(groups) == 0 {
+		return false
+	}
+	record, err := jaystream.EncodeRecord(groups)
+	if err == nil {
+		err = s.store.Append(ctx, jaystore.TopicStreams, [][]byte{record})
+	}
+	count := 0
+	for _, g := range groups {
+		count += len(g.Streams)
+	}
+	if err != nil {
+		if !s.failing {
+			s.log.Warn("streams not recorded; they are retried", "streams", count, "error", err)
+		}
+		s.failing = true
+		s.count("failed", count)
+		return true
+	}
+	s.failing = false
+	s.count("recorded", count)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Appended(groups)
+	return true
+}
+
+func (s *streams) count(result string, streams int) {
+	s.series.Add("stream_records_total", streams, jaymetric.Label{Name: "result", Value: result})
+}
+
+// observe processes the version of an upstream in a record of the registry.
+func (s *streams) observe(u jayfleet.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Observe(time.Now(), u.Service, u.Version)
+}
+
+// setRegistered replaces the registered upstreams.
+func (s *streams) setRegistered(upstreams []jayfleet.Upstream) {
+	versions := make(map[string][]string)
+	for _, u := range upstreams {
+		versions[u.Service] = append(versions[u.Service], u.Version)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loaded = true
+	s.table.SetRegistered(time.Now(), versions)
+}
+
+// observed processes that the registry was observed up to a position.
+func (s *streams) observed(next jaystore.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if next.Era() > s.registry.Era() {
+		s.table.Rewind()
+	}
+	s.registry = max(s.registry, next)
+}
+
+// setPolicy sets the timeouts of streams.
+func (s *streams) setPolicy(policy *jaytraffic.Policy) {
+	var timeout time.Duration
+	for _, r := range policy.RouteList() {
+		if r.Kind == jaytraffic.KindStream {
+			timeout = max(timeout, r.Timeout)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetTimeout(timeout)
+}
+
+// readRegistry observes the records of the registry that this instance has not observed yet.
+func (s *streams) readRegistry(ctx context.Context) error {
+	s.mu.Lock()
+	next := s.registry
+	s.mu.Unlock()
+	for {
+		records, end, err := s.store.Read(ctx, jaystore.TopicUpstreams, next, nil)
+		if jayerror.Is(err, jaystore.KindExpired) {
+			records, end, err = s.store.Newest(ctx, jaystore.TopicUpstreams)
+		}
+		if err != nil {
+			return err //nolint:wrapcheck // The store's errors are those of jaystore.
+		}
+		size := 0
+		for _, r := range records {
+			size += len(r.Key) + len(r.Value)
+			if u, err := s.adapter.ReadUpstream(r.Key, r.Value); err == nil {
+				// The placer logs malformed entries.
+				s.observe(u)
+			}
+		}
+		s.observed(end)
+		if next = end; size < fullPage {
+			return nil
+		}
+	}
+}
+
+// readLog reads the records of the log that this instance has not read yet.
+func (s *streams) readLog(ctx context.Context) error {
+	for {
+		records, next, err := s.store.ReadLog(ctx, jaystore.TopicStreams, s.logNext)
+		if jayerror.Is(err, jaystore.KindExpired) && s.logNext != jaystore.NoPosition {
+			s.logNext = jaystore.NoPosition
+			continue
+		}
+		if err != nil {
+			return err //nolint:wrapcheck // The store's errors are those of jaystore.
+		}
+		size := 0
+		for _, record := range records {
+			size += len(record)
+			s.readRecord(record)
+		}
+		if s.logNext = next; size < fullPage {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.table.ReadAll()
+			return nil
+		}
+	}
+}
+
+func (s *streams) readRecord(record []byte) {
+	groups, err := jaystream.DecodeRecord(record)
+	if err != nil {
+		s.log.Warn("record of streams malformed", "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Read(time.Now(), groups)
+}
+
+// sharedRead runs reads of which each serves all that asked before it began. It is safe for concurrent use.
+type sharedRead struct {
+	read func(context.Context) error
+	run  func(func(context.Context))
+
+	mu      sync.Mutex
+	running bool
+	// next is the result of the read that begins after the one in progress, nil if nobody has asked for it.
+	next *readResult
+}
+
+// readResult is the result of a read. The error may be read once done is closed.
+type readResult struct {
+	done chan struct{}
+	err  error
+}
+
+func newSharedRead(read func(context.Context) error, run func(func(context.Context))) *sharedRead {
+	return &sharedRead{read: read, run: run}
+}
+
+// wait waits for a read that begins after the call, for at most a time.
+func (r *sharedRead) wait(ctx context.Context, limit time.Duration) error {
+	result := r.request()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-result.done:
+		return result.err
+	case <-timer.C:
+		return errors.New("the read takes too long")
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+}
+
+// request returns the result of a read that begins after the call.
+func (r *sharedRead) request() *readResult {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.next == nil {
+		r.next = &readResult{done: make(chan struct{})}
+	}
+	result := r.next
+	if !r.running {
+		r.running = true
+		r.run(r.serve)
+	}
+	return result
+}
+
+// serve reads until nobody waits for another read.
+func (r *sharedRead) serve(ctx context.Context) {
+	for {
+		r.mu.Lock()
+		result := r.next
+		r.next = nil
+		r.running = result != nil
+		r.mu.Unlock()
+		if result == nil {
+			return
+		}
+		readCtx, cancel := context.WithTimeout(ctx, streamReadTimeout)
+		result.err = r.read(readCtx)
+		cancel()
+		close(result.done)
+	}
+}
--- /dev/null
+++ b/jay/jayedge/streams_test.go
@@ -0,0 +1,270 @@
+package jayedge
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jaystore"
+	"jayfield.example/jay/jaystream"
+)
+
+const streamService = "chat"
+
+// streamLog is a store with a registry and the log of streams.
+type streamLog struct {
+	mu       sync.Mutex
+	registry []jaystore.Record
+	log      [][]byte
+	era      int64
+	// silent is set while calls get no answer, delay is the time of each call.
+	silent bool
+	delay  time.Duration
+	calls  int
+}
+
+func (s *streamLog) call(ctx context.Context) error {
+	s.mu.Lock()
+	s.calls++
+	silent, delay := s.silent, s.delay
+	s.mu.Unlock()
+	if silent {
+		delay = time.Second
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	}
+	if silent || ctx.Err() != nil {
+		return jayerror.New("call", jaystore.KindUnavailable, "no answer")
+	}
+	return nil
+}
+
+// fail sets how the store answers from now on.
+func (s *streamLog) fail(silent bool, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent, s.delay = silent, delay
+}
+
+// restore brings the store back from a copy with some records of the log.
+func (s *streamLog) restore(records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log, s.era = s.log[:records], s.era+1
+}
+
+func (s *streamLog) register(id, version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, _ := json.Marshal(jayfleet.Upstream{ID: id, Service: streamService, Version: version}) //nolint:errchkjson // It has no part that could fail.
+	s.registry = append(s.registry, jaystore.Record{Key: id, Value: value, Position: jaystore.Position(len(s.registry))})
+}
+
+func (*streamLog) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
+	return nil, 0, jayerror.New("newest", jaystore.KindUnavailable, "not in this test")
+}
+
+func (s *streamLog) Read(ctx context.Context, _ jaystore.Topic, from jaystore.Position, _ <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
+	if err := s.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry[max(0, from.Offset()):], jaystore.Position(len(s.registry)), nil
+}
+
+func (s *streamLog) Append(ctx context.Context, _ jaystore.Topic, records [][]byte) error {
+	if err := s.call(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, records...)
+	return nil
+}
+
+func (s *streamLog) ReadLog(ctx context.Context, _ jaystore.Topic, from jaystore.Position) ([][]byte, jaystore.Position, error) {
+	if err := s.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from == jaystore.NoPosition {
+		from = jaystore.NewPosition(s.era, 0)
+	}
+	if from.Era() != s.era {
+		return nil, 0, jayerror.New("read", jaystore.KindExpired, "another era")
+	}
+	return s.log[from.Offset():], jaystore.NewPosition(s.era, int64(len(s.log))), nil
+}
+
+func (s *streamLog) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// start starts an instance, which has read the registry.
+func (s *streamLog) start(ctx context.Context) (instance *streams, kill func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	instance = newStreams(streamOptions{
+		adapter: jsonAdapter{}, store: s, instances: func() int { return 3 }, run: func(run func(context.Context)) { go run(ctx) },
+		series: jaymetric.NewExposition(), log: slog.New(slog.DiscardHandler),
+	})
+	s.load(instance)
+	go instance.Run(ctx)
+	return instance, cancel
+}
+
+func (s *streamLog) load(instance *streams) {
+	upstreams := make([]jayfleet.Upstream, 0, len(s.registry))
+	for _, r := range s.registry {
+		u, _ := jsonAdapter{}.ReadUpstream(r.Key, r.Value) // It was written by register.
+		upstreams = append(upstreams, u)
+		instance.observe(u)
+	}
+	instance.setRegistered(upstreams)
+	instance.observed(jaystore.Position(len(s.registry)))
+}
+
+func TestVersionOfStream(t *testing.T) {
+	const unknown = ""
+	tests := map[string]struct {
+		versions []string
+		act      func(store *streamLog, first, other *streams, kill func())
+		attempt  string
+		want     string
+		within   time.Duration
+	}{
+		"in progress at a killed instance": {[]string{"1", "2"}, func(_ *streamLog, first, _ *streams, kill func()) {
+			first.Began(streamService, "x", "2")
+			time.Sleep(110 * time.Millisecond)
+			kill()
+		}, "x", "2", 10 * time.Millisecond},
+		"broken just now": {[]string{"1", "2"}, func(_ *streamLog, first, _ *streams, _ func()) {
+			first.Began(streamService, "x", "2")
+			first.Ended(streamService, "x", false)
+		}, "x", "2", 110 * time.Millisecond},
+		"began before another version came": {[]string{"1"}, func(s *streamLog, first, other *streams, kill func()) {
+			first.Began(streamService, "x", "1")
+			time.Sleep(time.Second)
+			s.register("b", "2")
+			s.load(first)
+			s.load(other)
+			time.Sleep(110 * time.Millisecond)
+			kill()
+		}, "x", "1", 10 * time.Millisecond},
+		"another version came that this instance has not read": {[]string{"1"}, func(s *streamLog, first, _ *streams, kill func()) {
+			s.register("b", "2")
+			s.load(first)
+			first.Began(streamService, "x", "2")
+			time.Sleep(110 * time.Millisecond)
+			kill()
+		}, "x", "2", 20 * time.Millisecond},
+		"one version":            {[]string{"1"}, func(*streamLog, *streams, *streams, func()) {}, "x", "1", 10 * time.Millisecond},
+		"one version, no answer": {[]string{"1"}, func(s *streamLog, _, _ *streams, _ func()) { s.fail(true, 0) }, "x", "1", streamReadWait},
+		"slow store": {[]string{"1", "2"}, func(s *streamLog, first, _ *streams, _ func()) {
+			first.Began(streamService, "x", "2")
+			time.Sleep(110 * time.Millisecond)
+			s.fail(false, 240*time.Millisecond)
+		}, "x", "2", 250 * time.Millisecond},
+		"no record":  {[]string{"1", "2"}, func(*streamLog, *streams, *streams, func()) {}, "x", unknown, 250 * time.Millisecond},
+		"no attempt": {[]string{"1", "2"}, func(*streamLog, *streams, *streams, func()) {}, "", unknown, 0},
+		"no answer":  {[]string{"1", "2"}, func(s *streamLog, _, _ *streams, _ func()) { s.fail(true, 0) }, "x", unknown, streamReadWait},
+		"store is older, instance killed": {[]string{"1", "2"}, func(s *streamLog, first, other *streams, kill func()) {
+			other.Began(streamService, "y", "1")
+			time.Sleep(110 * time.Millisecond)
+			_, _ = other.Version(context.Background(), streamService, "z")
+			first.Began(streamService, "x", "2")
+			time.Sleep(110 * time.Millisecond)
+			s.restore(1)
+			kill()
+		}, "x", unknown, 250 * time.Millisecond},
+		"store is older, instance runs": {[]string{"1", "2"}, func(s *streamLog, first, _ *streams, _ func()) {
+			first.Began(streamService, "x", "2")
+			time.Sleep(110 * time.Millisecond)
+			s.restore(0)
+			first.observed(jaystore.NewPosition(1, 0))
+			time.Sleep(110 * time.Millisecond)
+		}, "x", "2", 10 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &streamLog{delay: 4 * time.Millisecond}
+				for n, version := range test.versions {
+					store.register(string(rune('a'+n)), version)
+				}
+				first, kill := store.start(ctx)
+				other, _ := store.start(ctx)
+				time.Sleep(time.Second)
+				test.act(store, first, other, kill)
+				began := time.Now()
+				got, err := other.Version(ctx, streamService, test.attempt)
+				if got != test.want || (err == nil) != (test.want != unknown) || err != nil && !jayerror.Is(err, jaystream.KindUnknown) {
+					t.Errorf("version = %q, %v; want %q", got, err, test.want)
+				}
+				if took := time.Since(began); took > test.within {
+					t.Errorf("took %s, want at most %s", took, test.within)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a store that is called for each stream when many clients come back at once.
+func TestLookUpsShareReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &streamLog{delay: 4 * time.Millisecond}
+		store.register("a", "1")
+		store.register("b", "2")
+		instance, _ := store.start(ctx)
+		time.Sleep(time.Second)
+		before := store.total()
+		var group sync.WaitGroup
+		for range 500 {
+			group.Go(func() {
+				_, _ = instance.Version(ctx, streamService, "x") // Unknown.
+			})
+		}
+		group.Wait()
+		// Each look-up needs three reads. The first to ask in each group starts a read, which does not serve the others.
+		if calls := store.total() - before; calls > 2+3+4 {
+			t.Errorf("%d calls, want at most 9", calls)
+		}
+	})
+}
+
+// Guards against calls to the store while one version only is in play.
+func TestStreamsOfOneVersionAreNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &streamLog{}
+		store.register("a", "1")
+		instance, _ := store.start(ctx)
+		time.Sleep(time.Second)
+		before := store.total()
+		for _, attempt := range []string{"x", "y"} {
+			instance.Began(streamService, attempt, "1")
+			instance.Ended(streamService, attempt, attempt == "x")
+			time.Sleep(time.Second)
+		}
+		if calls := store.total() - before; calls != 0 {
+			t.Errorf("%d calls, want none", calls)
+		}
+	})
+}
--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -286,6 +286,9 @@
 // ReadAll processes that the log was read up to its end.
 func (t *Table) ReadAll() { t.complete = true }
 
+// Complete reports whether the log has been read up to its end, or need not be, since the registry shows all versions in play.
+func (t *Table) Complete(now time.Time) bool { return t.complete || t.mature(now) }
+
 // mature reports whether the instance has followed the registry for longer than a version remains in play.
 func (t *Table) mature(now time.Time) bool {
 	return !t.loaded.IsZero() && now.Sub(t.loaded) > t.window
@@ -346,7 +349,7 @@
 		return Answer{StepDone, result, s.version}
 	}
 	versions := t.Versions(now, name)
-	known := !t.loaded.IsZero() && (t.complete || t.mature(now))
+	known := !t.loaded.IsZero() && t.Complete(now)
 	if known && len(versions) == 1 {
 		return p.only(versions[0])
 	}
