--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -299,7 +299,7 @@
 		Policies: e.policies, Confirmer: newConfirmer(e.settings.Apply, e.policies.Age, e.readPolicy, e.group.Go), Apply: e.settings.Apply,
 		Placer: e.placer, Budget: e.budgets, Links: e.pool,
 		Dialect: adapter.Dialect(), Metrics: e.metrics, Series: e.series, Log: e.log, Memory: e.memory, Others: e.others,
-		Admission: e.admission,
+		Admission: e.admission, Streams: e.streams,
 	}
 	if e.meter != nil {
 		options.Usage, options.Demand = e.meter, e.meter
