--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -36,6 +36,9 @@
 	unansweredRetryAfter = time.Second
 )
 
+// resultGone is the result of a look-up whose caller did not wait for it.
+const resultGone jaystream.Result = "gone"
+
 // streamStore is the part of the store that holds the records of streams and the registry.
 type streamStore interface {
 	jaystore.Reader
@@ -115,7 +118,7 @@
 		p = s.proceed(ctx, answer.Step, p)
 	}
 	if answer.Step != jaystream.StepDone {
-		answer.Result = jaystream.ResultUnknown
+		answer.Result = resultGone
 	}
 	s.series.Count("stream_lookups_total", jaymetric.Label{Name: "result", Value: string(answer.Result)})
 	if answer.Result != jaystream.ResultOwn {
@@ -123,6 +126,8 @@
 			"reads", p.Reads, "failed", p.Failed, "took", time.Since(began))
 	}
 	switch {
+	case answer.Result == resultGone:
+		return "", jaystream.ErrUnknown("the caller has gone", unknownRetryAfter) //nolint:wrapcheck // An error of jaystream.
 	case answer.Result != jaystream.ResultUnknown:
 		return answer.Version, nil
 	case p.Failed:
@@ -147,7 +152,7 @@
 		waitUntil(ctx, time.Now().Add(streamPause))
 	}
 	p.Reads++
-	p.Failed = s.logReads.wait(ctx, streamReadWait) != nil
+	p.Failed = s.logReads.wait(ctx, streamReadWait) != nil && ctx.Err() == nil
 	return p
 }
 
