--- a/jay/jaystream/table_test.go
+++ b/jay/jaystream/table_test.go
@@ -355,6 +355,32 @@
 	}
 }
 
+// Guards against instances that start after a release and refuse streams, since the log shows the former version.
+func TestLogStatesThatOneVersionIsLeft(t *testing.T) {
+	table, now := jaystream.NewTable(), time.Unix(1000, 0)
+	table.SetRegistered(now, map[string][]string{service: {"a", "b"}})
+	if changes := table.Tick(now); len(changes) != 1 || !changes[0].Several {
+		t.Errorf("changes = %v, want several versions", changes)
+	}
+	table.SetRegistered(now, map[string][]string{service: {"b"}})
+	now = now.Add(jaystream.Window(0))
+	if changes, due := table.Tick(now), table.Due(now); len(changes) != 0 || len(due) != 0 {
+		t.Errorf("changes = %v, due = %v within the window", changes, due)
+	}
+	now = now.Add(1)
+	if changes := table.Tick(now); len(changes) != 1 || changes[0].Several {
+		t.Errorf("changes = %v, want one version", changes)
+	}
+	due := table.Due(now)
+	if len(due) != 1 || due[0].Version != "b" || len(due[0].Streams) != 0 {
+		t.Errorf("due = %v, want that b is left", due)
+	}
+	table.Appended(due)
+	if due := table.Due(now); len(due) != 0 {
+		t.Errorf("due = %v after it was appended", due)
+	}
+}
+
 // recorded returns the group of one stream as an instance records it.
 func recorded(attempt, version string) jaystream.Group {
 	t, now := jaystream.NewTable(), time.Unix(1000, 0)
