Record streams that ended complete while several versions are in play

A connection that is reset after the last write loses the end of a complete response. The caller takes the stream up at another instance, which found no record and refused it.

Cause: an instance forgot a stream at once when its response was written completely.

Change: while several versions are in play, it is remembered and recorded like the others. The case "stream that ended complete" of TestLookUp stated the former behaviour and now states this one.

Failed before: TestCompleteStreamIsRecorded (due = []).

--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -151,7 +151,8 @@
 }
 
 // End processes the end of a response to a stream that began, and reports whether its record is urgent: the caller may
-// take the stream up at another instance at once.
+// take the stream up at another instance at once. One that ended complete is recorded too while several versions are in play,
+// since its caller may not have received the end.
 func (t *Table) End(now time.Time, name, attempt string, complete bool) bool {
 	key := NewKey(name, attempt)
 	s, ok := t.own[key]
@@ -160,11 +161,11 @@
 	}
 	s.open--
 	s.at = now
-	if complete && s.open == 0 {
+	several := len(t.inPlay(now, s.service)) > 1
+	if complete && s.open == 0 && !several {
 		t.forget(key)
-		return false
 	}
-	return t.unrecorded[key] != nil && len(t.inPlay(now, s.service)) > 1
+	return !complete && several && t.unrecorded[key] != nil
 }
 
 func (t *Table) forget(key Key) {
