End a lease of the duties with the era of the store in which it was claimed

Two instances may call the control API at the same time, and one may use a lower fencing token after another has used a higher one, for as long as its renewals succeed.

Cause: a holder kept its lease and token when its own record was the newest of the new era. Its record may be a renewal that came late and was accepted since the new era ended at the same offset, or be in a copy of a time before the claim of another instance. A release or a claim that a copy has again counted as the newest state of the lease, so that others claimed while the holder whose records were lost still had its lease.

Evidence: TestDutyModel with returns of the store from copies that are up to 8 s old, at any moment, also between a call and its answer and before an append that comes late.

Change: a record under a token of a former era counts as a sign of life only: it neither gives nor ends a lease, and nobody claims until it is as old as a lease may be. A lease of a former era is not renewed. Its holder claims anew at once.

Why it works: a lease that has not ended was renewed before the store came back, and others claim at the earliest a lease time and the margin after they first read the new era. The holder's own claim is later than all that others may hold, and ends their renewals. It waits after its claim, as after any other, since calls under the old token may still arrive.

Weighed: the duties rest for the waiting time (3 s) after a return. To end the lease where the era is learned, and to claim as others do, takes 7 s.

--- a/jay/jayduty/machine.go
+++ b/jay/jayduty/machine.go
@@ -113,6 +113,9 @@
 
 // Next returns the next step. An instance that is no candidate only renews or releases its lease.
 func (m *Machine) Next(now time.Duration, candidate bool) Step {
+	if m.formerLease() && m.lease.Remaining(now) == 0 {
+		m.lease = Lease{}
+	}
 	switch {
 	case m.doubt:
 		return m.read()
@@ -148,7 +151,11 @@
 			m.position = r.Position + 1
 		}
 	}
-	if !found {
+	switch {
+	case found:
+	case end.Era() > 0:
+		m.applyRecord(now, Record{Kind: KindFormer}, end)
+	default:
 		m.applyRecord(now, Record{}, start)
 	}
 }
@@ -208,7 +215,7 @@
 }
 
 // claimable reports whether no lease can be valid: the topic never had a record, the newest record releases
-// the lease, or it is old enough.
+// the lease, or it is old enough. A topic that is empty in a later era may have had records.
 func (m *Machine) claimable(now time.Duration) bool {
 	return m.position == 0 || m.newest.Kind == KindRelease || now-m.seenAt >= m.TTL+ClaimMargin
 }
@@ -219,6 +226,18 @@
 	return int64(position) + 1
 }
 
+// eraOf returns the era of the claim that has a fencing token.
+func eraOf(fence int64) int64 {
+	return jaystore.Position(fence - 1).Era()
+}
+
+// formerLease reports whether the instance's lease was claimed in a former era of the store. It is not renewed: others may have
+// claimed since, and a renewal may be in the log by accident. It holds until its end, since nobody else claims in the
+// new era before then, and so the instance itself may claim at once.
+func (m *Machine) formerLease() bool {
+	return m.lease.Fence != 0 && m.position != start && eraOf(m.lease.Fence) < m.position.Era()
+}
+
 // actsFrom returns when the holder of a claim at a position may begin to call the control API: calls of a former
 // holder may arrive until then. The first record of the topic has none before it.
 func (m *Machine) actsFrom(now time.Duration, position jaystore.Position) time.Duration {
@@ -239,6 +258,9 @@
 }
 
 func (m *Machine) renew(now time.Duration) Step {
+	if m.formerLease() {
+		return m.append(now, KindClaim)
+	}
 	if due := m.lease.ExpiresAt - m.TTL + m.TTL/renewDivisor; now < due {
 		return wait(due)
 	}
@@ -266,11 +288,16 @@
 	return Step{Action: ActionWait, Until: until}
 }
 
-// apply processes a record of the topic. A record that cannot be decoded counts as another instance's.
+// apply processes a record of the topic. A record that cannot be decoded counts as another instance's. One that was written
+// under a token of a former era says only that there may be a lease: newer records may have been lost, and its writer may
+// not have read those before it.
 func (m *Machine) apply(now time.Duration, r jaystore.Record) {
 	record, err := Decode(r.Value)
-	if err != nil {
+	switch {
+	case err != nil:
 		record = Record{Kind: kindMalformed}
+	case eraOf(record.Fence) < r.Position.Era():
+		record = Record{Kind: KindFormer}
 	}
 	m.applyRecord(now, record, r.Position)
 }
@@ -278,6 +305,9 @@
 func (m *Machine) applyRecord(now time.Duration, record Record, position jaystore.Position) {
 	m.newest, m.seenAt = record, now
 	switch {
+	case record.Kind == KindFormer:
+		m.resigned = false
+		return
 	case !m.own() || record.Kind == KindRelease:
 		m.lease, m.resigned = Lease{}, false
 	case m.stopping || m.resigned:
--- a/jay/jayduty/machine_test.go
+++ b/jay/jayduty/machine_test.go
@@ -14,6 +14,7 @@
 	t       *testing.T
 	now     time.Duration
 	records []jaystore.Record
+	era     int64
 	machine *jayduty.Machine
 	down    bool
 	calls   int
@@ -32,7 +33,20 @@
 	if err != nil {
 		o.t.Fatal(err)
 	}
-	o.records = append(o.records, jaystore.Record{Key: jayduty.Key, Value: value, Position: jaystore.Position(len(o.records))})
+	o.records = append(o.records, jaystore.Record{Key: jayduty.Key, Value: value, Position: o.end()})
+}
+
+// end returns the position after the newest record.
+func (o *topic) end() jaystore.Position {
+	return jaystore.NewPosition(o.era, int64(len(o.records)))
+}
+
+// restore begins a new era, in which the topic has only its first records.
+func (o *topic) restore(length int) {
+	o.era, o.records = o.era+1, o.records[:length]
+	for n := range o.records {
+		o.records[n].Position = jaystore.NewPosition(o.era, int64(n))
+	}
 }
 
 // run lets time pass and takes the machine's steps.
@@ -48,10 +62,12 @@
 			o.machine.Appended(o.now, jayduty.ResultUnknown)
 		case o.down:
 		case step.Action == jayduty.ActionNewest:
-			o.machine.ApplyNewest(o.now, o.records[max(0, len(o.records)-1):], jaystore.Position(len(o.records)))
+			o.machine.ApplyNewest(o.now, o.records[max(0, len(o.records)-1):], o.end())
+		case step.Action == jayduty.ActionRead && step.End.Era() != o.era:
+			o.machine.Restart()
 		case step.Action == jayduty.ActionRead:
-			o.machine.ApplyRead(o.now, o.records[step.End:], jaystore.Position(len(o.records)))
-		case step.End != jaystore.Position(len(o.records)):
+			o.machine.ApplyRead(o.now, o.records[step.End.Offset():], o.end())
+		case step.End != o.end():
 			o.machine.Appended(o.now, jayduty.ResultConflict)
 		default:
 			o.write(step.Record)
@@ -177,3 +193,52 @@
 		t.Errorf("step after the late append = %+v", next)
 	}
 }
+
+// Guards against a holder that goes on under a fencing token of before the store came back from a copy, and against duties that
+// nobody holds for longer than the waiting time.
+func TestHolderClaimsAnewInLaterEra(t *testing.T) {
+	for name, length := range map[string]int{"claim kept": 5, "claim lost": 0} {
+		t.Run(name, func(t *testing.T) {
+			o := newTopic(t)
+			o.run(10*time.Second, true)
+			before, _ := o.holds()
+			o.restore(length)
+			o.run(ttl/4+50*time.Millisecond, true)
+			if after, ok := o.holds(); after <= before || ok {
+				t.Fatalf("fencing token = %d, before %d; holds = %t", after, before, ok)
+			}
+			o.run(ttl, true)
+			if _, ok := o.holds(); !ok {
+				t.Fatal("does not hold the duties after the waiting time")
+			}
+		})
+	}
+}
+
+// Guards against records that a copy of the store has, or that were written on condition of a former era, and that are taken for
+// the newest of the lease.
+func TestRecordsOfFormerEraAreWaitedOut(t *testing.T) {
+	tests := map[string]func(*topic){
+		"none":      func(*topic) {},
+		"release":   func(o *topic) { o.write(jayduty.Record{Kind: jayduty.KindRelease, Incarnation: "other", Fence: 1}) },
+		"own claim": func(o *topic) { o.write(jayduty.Record{Kind: jayduty.KindClaim, Incarnation: "own", Fence: 1}) },
+		"own append": func(o *topic) {
+			o.write(jayduty.Record{Kind: jayduty.KindRenew, Incarnation: "own", Fence: 1, Nonce: "1"})
+		},
+	}
+	for name, write := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newTopic(t)
+			o.restore(0)
+			write(o)
+			o.run(ttl+jayduty.ClaimMargin, true)
+			if fence, _ := o.holds(); fence != 0 {
+				t.Fatalf("claimed with fencing token %d", fence)
+			}
+			o.run(time.Second, true)
+			if fence, _ := o.holds(); fence <= int64(jaystore.NewPosition(1, 0)) {
+				t.Fatalf("fencing token = %d", fence)
+			}
+		})
+	}
+}
--- a/jay/jayduty/model_test.go
+++ b/jay/jayduty/model_test.go
@@ -18,6 +18,8 @@
 	callTimeout = time.Second
 	// liveTime is the time after the last fault within which a candidate has to hold the duties.
 	liveTime = 2*ttl + ttl + 2*time.Second
+	// copyAge is the age up to which the store comes back from a copy. The copy may be of a time before the last return.
+	copyAge = 8 * time.Second
 )
 
 // lateAppend is an append that takes effect later, if the topic still ends where it has to.
@@ -27,6 +29,12 @@
 	at    time.Duration
 }
 
+// logCopy is a copy of the log.
+type logCopy struct {
+	log [][]byte
+	at  time.Duration
+}
+
 // call is a call on its way to the receiver.
 type call struct {
 	machine, incarnation string
@@ -47,6 +55,8 @@
 	// cut is set while the instance does not reach the store, barred while others take it for no candidate. They
 	// may be wrong.
 	cut, barred bool
+	// era is the highest era of the store that a response had.
+	era int64
 	// response processes the answer of the store that has arrived.
 	response func(now time.Duration)
 	// checked is a call that was checked and not written before a pause, 0 if there is none.
@@ -55,13 +65,15 @@
 	bar time.Duration
 }
 
-// model is a store with lost answers and late appends, instances that pause, end and restart, and a receiver
+// model is a store with lost answers and late appends that comes back from copies, instances that pause, end and restart, and a receiver
 // that gets calls up to their timeout late.
 type model struct {
 	now       time.Duration
 	wall      time.Duration
 	log       [][]byte
-	first     jaystore.Position
+	first     int
+	era       int64
+	copies    []logCopy
 	down      bool
 	late      []lateAppend
 	calls     []call
@@ -77,6 +89,8 @@
 	// holders are the fencing tokens of calls, to check that the test reaches calls.
 	holders map[int64]bool
 	faults  int
+	// returns is how often the store came back from a copy while an instance held the duties.
+	returns int
 }
 
 func newModel(t *rapid.T, instances int) *model {
@@ -131,23 +145,58 @@
 	case jayduty.ActionWait:
 	case jayduty.ActionNewest:
 		records, end := m.newest(t, faulty)
-		i.response = func(now time.Duration) { i.machine.ApplyNewest(now, records, end) }
+		i.receive(m.era, func(now time.Duration) { i.machine.ApplyNewest(now, records, end) }, nil)
 	case jayduty.ActionRead:
-		records, next := m.records(step.End), jaystore.Position(len(m.log))
-		if step.End < m.first {
-			i.response = func(time.Duration) { i.machine.Restart() }
+		records, next := m.records(step.End), m.position(len(m.log))
+		if step.End.Era() != m.era || step.End.Offset() < int64(m.first) {
+			i.receive(m.era, func(time.Duration) { i.machine.Restart() }, nil)
 			return
 		}
-		i.response = func(now time.Duration) { i.machine.ApplyRead(now, records, next) }
+		i.receive(m.era, func(now time.Duration) { i.machine.ApplyRead(now, records, next) }, nil)
 	case jayduty.ActionAppend:
 		if step.Record.Kind == jayduty.KindClaim && m.clock(i) < i.bar {
 			t.Fatalf("%s claims %s before the end of its bar", i.incarnation, i.bar-m.clock(i))
 		}
-		result := m.append(t, step, faulty)
-		i.response = func(now time.Duration) { i.machine.Appended(now, result) }
+		result := jayduty.ResultConflict
+		if i.era <= step.End.Era() {
+			result = m.append(t, step, faulty)
+		}
+		i.receive(m.era, func(now time.Duration) { i.machine.Appended(now, result) },
+			func(now time.Duration) { i.machine.Appended(now, jayduty.ResultUnknown) })
+	}
+}
+
+// receive has the instance process a response of an era next, unless it knows of a later one by then.
+func (i *instance) receive(era int64, process, late func(now time.Duration)) {
+	i.response = func(now time.Duration) {
+		if era < i.era {
+			process = late
+		}
+		if i.era = max(i.era, era); process != nil {
+			process(now)
+		}
 	}
 }
 
+// restore has the store come back from a copy.
+func (m *model) restore(t *rapid.T) {
+	m.faults++
+	if m.holder() != 0 {
+		m.returns++
+	}
+	m.copies = append(m.copies, logCopy{m.log, m.now})
+	copies := slices.DeleteFunc(slices.Clone(m.copies), func(c logCopy) bool { return m.now-c.at > copyAge })
+	m.log = copies[rapid.IntRange(0, len(copies)-1).Draw(t, "copy")].log
+	m.first = min(m.first, len(m.log))
+	m.era++
+	m.copies = append(m.copies, logCopy{m.log, m.now})
+}
+
+// position returns the position of an offset in the current era.
+func (m *model) position(offset int) jaystore.Position {
+	return jaystore.NewPosition(m.era, int64(offset))
+}
+
 // newest returns the newest record and the end of the log, which a store with pages may read at two times.
 func (m *model) newest(t *rapid.T, faulty bool) ([]jaystore.Record, jaystore.Position) {
 	end := len(m.log)
@@ -156,15 +205,15 @@
 		at--
 	}
 	if at < 0 {
-		return nil, jaystore.Position(end)
+		return nil, m.position(end)
 	}
-	return []jaystore.Record{{Key: jayduty.Key, Value: m.log[at], Position: jaystore.Position(at)}}, jaystore.Position(end)
+	return []jaystore.Record{{Key: jayduty.Key, Value: m.log[at], Position: m.position(at)}}, m.position(end)
 }
 
 func (m *model) records(from jaystore.Position) []jaystore.Record {
 	var records []jaystore.Record
-	for n := from; n < jaystore.Position(len(m.log)); n++ {
-		records = append(records, jaystore.Record{Key: jayduty.Key, Value: m.log[n], Position: n})
+	for n := int(from.Offset()); n < len(m.log); n++ {
+		records = append(records, jaystore.Record{Key: jayduty.Key, Value: m.log[n], Position: m.position(n)})
 	}
 	return records
 }
@@ -193,17 +242,22 @@
 		m.faults++
 		return jayduty.ResultUnknown
 	}
-	if !m.execute(value, step.End) {
+	switch {
+	case !m.execute(value, step.End):
 		return jayduty.ResultConflict
+	case step.End.Era() != m.era:
+		return jayduty.ResultUnknown
 	}
 	return jayduty.ResultDone
 }
 
+// execute appends a record if the log ends at the offset, in whichever era.
 func (m *model) execute(value []byte, end jaystore.Position) bool {
-	if end != jaystore.Position(len(m.log)) {
+	if end.Offset() != int64(len(m.log)) {
 		return false
 	}
-	m.log = append(m.log, value)
+	m.copies = append(m.copies, logCopy{m.log, m.now})
+	m.log = append(slices.Clone(m.log), value)
 	return true
 }
 
@@ -396,7 +450,13 @@
 				}
 			}
 		},
-		"expire": func(*rapid.T) { m.first = jaystore.Position(len(m.log)) },
+		"expire":  func(*rapid.T) { m.first = len(m.log) },
+		"restore": m.restore,
+		"learn": func(t *rapid.T) {
+			// A response to another call has the era.
+			_, i := pick(t)
+			i.era = m.era
+		},
 	}
 }
 
@@ -470,17 +530,18 @@
 
 // TestDutyModel guards against calls under an older fencing token after a newer one, two holders with one
 // token, holders that alternate within the lease time, leases at the same time, and duties that nobody
-// takes over.
+// takes over, also if the store comes back from copies of itself.
 func TestDutyModel(t *testing.T) {
-	holders, faults := 0, 0
+	holders, faults, returns := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t, 3)
 		t.Repeat(m.actions())
 		m.settle(t)
 		holders += len(m.holders)
 		faults += m.faults
+		returns += m.returns
 	})
-	t.Logf("fencing tokens used: %d, faults: %d", holders, faults)
+	t.Logf("fencing tokens used: %d, faults: %d, returns of the store while there was a holder: %d", holders, faults, returns)
 	if holders == 0 {
 		t.Error("no run had a holder")
 	}
--- a/jay/jayduty/record.go
+++ b/jay/jayduty/record.go
@@ -20,6 +20,9 @@
 	KindClaim   Kind = "claim"
 	KindRenew   Kind = "renew"
 	KindRelease Kind = "release"
+	// KindFormer stands for all records that were written under a fencing token of a former era of the store, and for none
+	// in a later era. It is not written.
+	KindFormer Kind = "former"
 )
 
 // ErrorKind classifies errors.
@@ -38,7 +41,7 @@
 	// Machine is the name under which the holder calls the control API.
 	Machine     string
 	Incarnation string
-	// Fence is the fencing token: the offset of the claim plus one.
+	// Fence is the fencing token: the position of the claim plus one.
 	Fence int64
 	// Nonce identifies the append.
 	Nonce string
--- a/jay/jayedge/duty.go
+++ b/jay/jayedge/duty.go
@@ -359,6 +359,8 @@
 		return "planned stop"
 	case fence <= d.fenced.Load():
 		return "control API has seen a higher fencing token"
+	case newest.Kind == jayduty.KindFormer, newest.Incarnation == d.self.Incarnation && newest.Fence != fence:
+		return "the store came back from a copy"
 	case newest.Incarnation != d.self.Incarnation:
 		return "claimed by " + newest.Machine
 	}
