Continue from orders of engines that the store has lost

After the store came back from a copy, the holder ordered up to Max engines of one kind beside those that it had ordered of the other: 13 where 8 are allowed. They are paid for until the registry shows the first ones.

Cause: with a new fencing token, and whenever it does not hold the duty for a moment, the task forgets what it ordered and continues from the records in the store. Those of the last seconds are gone after a return from a copy, or older ones are there.

Change: an instance keeps the newest orders that it has read or recorded, and continues from them unless the store has one under a higher token.

Why it works: all orders that this instance has sent are known to it, whatever the store lost, and count for the limits until the registry shows what is in force. Orders of another holder count as soon as one of its records is left, as before; those that neither the store nor the holder knows show in the registry.

Failed before (TestScaleKnowsOrdersThatStoreLost, all three cases): no_records: 13 engines are ordered in zone a, want at most 8; calls = ["one 7: model a 5 true" "one 7: model b 5 true" "one 9: model a 8 false" "one 9: model b 8 false"] older_records: 13 engines are ordered in zone b, want at most 8 after_a_pause: 13 engines are ordered in zone a, want at most 8

--- a/jay/jayedge/scale.go
+++ b/jay/jayedge/scale.go
@@ -98,8 +98,9 @@
 
 	settings atomic.Pointer[ScaleSettings]
 	services map[string]*scaledService
-	// restored holds the recorded orders of services that were not planned for yet.
-	restored map[string]map[jaycapacity.Group]scaleRecord
+	// recorded holds the newest orders that the instance has read or recorded. It is kept while the instance does not hold the
+	// duty, since the store may come back from a copy that lacks them.
+	recorded recordedOrders
 	// fence is the fencing token under which the records were read, 0 if they were not, and end the end of
 	// the topic, -1 if it has to be read again.
 	fence int64
@@ -110,6 +111,29 @@
 	gauges     map[gaugeKey]bool
 }
 
+// recordedOrders are recorded orders by service and group.
+type recordedOrders map[string]map[jaycapacity.Group]scaleRecord
+
+func (o recordedOrders) add(service string, group jaycapacity.Group, record scaleRecord) {
+	if o[service] == nil {
+		o[service] = make(map[jaycapacity.Group]scaleRecord)
+	}
+	o[service][group] = record
+}
+
+// addMissing adds the orders of which there is none under a higher fencing token. Of two under the same one, the known order
+// counts: the other is an older one that a copy of the store has again, or one that was not sent, since its holder did not learn
+// that it was recorded.
+func (o recordedOrders) addMissing(known recordedOrders) {
+	for service, groups := range known {
+		for group, record := range groups {
+			if record.Fence >= o[service][group].Fence {
+				o.add(service, group, record)
+			}
+		}
+	}
+}
+
 // scaledService is the state of a service.
 type scaledService struct {
 	planner *jaycapacity.Planner
@@ -135,7 +159,7 @@
 
 // NewScale returns a task that has not begun.
 func NewScale(options ScaleOptions) *Scale {
-	s := &Scale{ScaleOptions: options, registered: make(map[engineKey]time.Time), gauges: make(map[gaugeKey]bool)}
+	s := &Scale{ScaleOptions: options, recorded: make(recordedOrders), registered: make(map[engineKey]time.Time), gauges: make(map[gaugeKey]bool)}
 	s.Configure(options.Settings)
 	return s
 }
@@ -179,16 +203,17 @@
 	s.publish(report)
 }
 
-// release forgets everything when another instance may hold the duty.
+// release forgets all but the recorded orders when another instance may hold the duty.
 func (s *Scale) release() {
 	if s.fence != 0 {
 		s.Log.Info("orders of engines end", "reason", "this instance does not hold the duty", "fence", s.fence)
 	}
-	s.services, s.restored, s.fence, s.end = nil, nil, 0, -1
+	s.services, s.fence, s.end = nil, 0, -1
 	s.report.Store(nil)
 }
 
-// load reads the recorded orders. With a new fencing token, the state continues from them.
+// load reads the recorded orders. With a new fencing token, the state continues from them and from those that the store
+// has lost.
 func (s *Scale) load(ctx context.Context, fence int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, scaleCallTimeout)
 	defer cancel()
@@ -197,7 +222,7 @@
 		s.Log.Warn("recorded orders of engines not read", "error", err)
 		return false
 	}
-	restored := make(map[string]map[jaycapacity.Group]scaleRecord)
+	recorded := make(recordedOrders)
 	for _, r := range records {
 		service, group, ok := parseScaleKey(r.Key)
 		var record scaleRecord
@@ -209,16 +234,14 @@
 			s.Log.Warn("no orders of engines are sent", "reason", "another instance has recorded one under a higher fencing token", "own", fence, "recorded", record.Fence)
 			return false
 		}
-		if restored[service] == nil {
-			restored[service] = make(map[jaycapacity.Group]scaleRecord)
-		}
-		restored[service][group] = record
+		recorded.add(service, group, record)
 	}
+	recorded.addMissing(s.recorded)
 	if fence != s.fence {
-		s.services, s.restored = make(map[string]*scaledService), restored
+		s.services = make(map[string]*scaledService)
 		s.Log.Info("orders of engines begin", "fence", fence, "recorded", len(records))
 	}
-	s.fence, s.end = fence, end
+	s.fence, s.end, s.recorded = fence, end, recorded
 	return true
 }
 
@@ -257,7 +280,7 @@
 	for _, u := range upstreams {
 		names[u.Service] = true
 	}
-	for name := range s.restored {
+	for name := range s.recorded {
 		names[name] = true
 	}
 	return slices.Sorted(maps.Keys(names))
@@ -326,7 +349,7 @@
 		return state
 	}
 	ordered, orders := make(jaycapacity.Counts), jaycapacity.NewOrders()
-	for group, record := range s.restored[name] {
+	for group, record := range s.recorded[name] {
 		ordered[group] = record.Wanted
 		orders.Restore(s.Now(), group, record.Wanted, present[group])
 	}
@@ -365,9 +388,10 @@
 
 // record writes an order to the store.
 func (s *Scale) record(ctx context.Context, service string, order jaycapacity.Order, plan jaycapacity.Plan, in jaycapacity.Input, fence int64) error {
-	value, err := msgpack.Marshal(scaleRecord{
+	record := scaleRecord{
 		Wanted: order.Desired, Reason: plan.Reasons[order.Group], Holder: s.Self, Fence: fence, DemandAge: plan.DemandAge, RegistryAge: in.RegistryAge,
-	})
+	}
+	value, err := msgpack.Marshal(record)
 	if err != nil {
 		return err //nolint:wrapcheck // The record is always encodable.
 	}
@@ -377,6 +401,7 @@
 		return err //nolint:wrapcheck // The caller logs it.
 	}
 	s.end++
+	s.recorded.add(service, order.Group, record)
 	return nil
 }
 
--- a/jay/jayedge/scale_test.go
+++ b/jay/jayedge/scale_test.go
@@ -234,3 +234,41 @@
 		}
 	}
 }
+
+// Guards against more engines than the limits of a zone allow, since the store came back from a copy that lacks the newest orders.
+func TestScaleKnowsOrdersThatStoreLost(t *testing.T) {
+	tests := map[string]struct {
+		// pause is set if the instance does not hold the duty for a while, kept the number of records in the copy.
+		pause bool
+		kept  int
+	}{"no records": {}, "older records": {kept: 1}, "after a pause": {pause: true}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment()
+			d.scaling.Max = 8
+			s := d.start("one", jayedge.ScaleSettings{})
+			d.run(t, s, 4)
+			d.records, d.fence = d.records[:test.kept], 9
+			if test.pause {
+				d.holds = 0
+				d.run(t, s, 3)
+				d.holds = -1
+			}
+			// On-demand engines are as cheap now.
+			d.scaling.SpotPrice = 1
+			d.run(t, s, 3)
+			inForce := map[string]map[string]int{"a": {"false": 3}, "b": {"false": 3}}
+			for _, call := range d.calls {
+				var holder, service, zone, preemptible string
+				var fence, desired int
+				if _, err := fmt.Sscanf(call, "%s %d: %s %s %d %s", &holder, &fence, &service, &zone, &desired, &preemptible); err != nil {
+					t.Fatal(err)
+				}
+				inForce[zone][preemptible] = desired
+				if total := inForce[zone]["true"] + inForce[zone]["false"]; total > d.scaling.Max {
+					t.Errorf("%d engines are ordered in zone %s, want at most %d; calls = %q", total, zone, d.scaling.Max, d.calls)
+				}
+			}
+		})
+	}
+}
