Register again where the store has the entry of a former instance again

An instance that had started under the name of a former one, and whose registration was lost, was not listed until the others removed the former entry, which takes 15 s and more. Instances that start meanwhile don't know it.

Cause: an entry of the own name that is another's counted as written later. A copy may have an older one again.

Change: an instance whose registration was in a former era of the store registers again unless the list has its own entry. One that finds its own entry takes its new position, so that an entry of its name which is written after the return is still kept.

Why it works: an instance registers at most once more in each era, so that two of one name don't replace each other's entry without end.

Failed before: TestEntriesAreThoseOfLiveInstances/the_store_loses_a_registration_under_the_name_of_a_former_instance: i3 (007) is alive and not listed for 2.1s: map[i0:001 i1:002 i2:003 i3:004 i4:005 i5:006] entry of i3 is of incarnation "004", want 007 The other new cases passed before: a registration that is lost, a removal that is lost, also one of a planned stop. TestLaterEntryOfOwnNameIsKept fails without the new position of the own entry.

--- a/jay/jayroster/entry.go
+++ b/jay/jayroster/entry.go
@@ -53,14 +53,16 @@
 }
 
 // checkEntry registers the instance again if the list no longer contains it: instances that could not
-// reach it for some time have removed its entry. An entry of its name that is not its own is kept, since its writer
-// registered later.
+// reach it for some time have removed its entry, or the store has come back from a copy that lacks it. An entry of its name that
+// is not its own is kept, since its writer registered later, unless the copy lacks the own one.
 func (r *Roster) checkEntry(s *state) {
-	if _, listed := s.listed[r.self.Name]; listed || s.registeredAt < 0 || s.registeredAt >= s.listEnd || r.leaving.Load() {
+	entry, listed := s.listed[r.self.Name]
+	lost := s.registeredAt.Era() < s.listEnd.Era() && entry.Incarnation != r.self.Incarnation
+	if listed && !lost || s.registeredAt < 0 || s.registeredAt >= s.listEnd || r.leaving.Load() {
 		return
 	}
-	r.log.Warn("entry of this instance was removed by another; registering again", "instance", r.self.Name, "incarnation", r.self.Incarnation,
-		"offset", s.registeredAt, "end", s.listEnd)
+	r.log.Warn("entry of this instance was removed by another or lost by the store; registering again", "instance", r.self.Name,
+		"incarnation", r.self.Incarnation, "listed", entry.Incarnation, "offset", s.registeredAt, "end", s.listEnd)
 	s.registeredAt = notRegistered
 	r.group.Go(r.register)
 }
--- a/jay/jayroster/entry_test.go
+++ b/jay/jayroster/entry_test.go
@@ -30,7 +30,8 @@
 	mu      sync.Mutex
 	records []jaystore.Record
 	// first is the oldest offset that can still be read.
-	first   jaystore.Position
+	first   int
+	era     int64
 	changed chan struct{}
 	away    atomic.Bool
 	writes  int
@@ -40,17 +41,44 @@
 const keep = 20 * time.Second
 
 func (l *memberLog) put(key string, value []byte) jaystore.Position {
-	offset := jaystore.Position(len(l.records))
-	l.records = append(l.records, jaystore.Record{Key: key, Value: value, Position: offset})
+	offset, era := len(l.records), l.era
+	position := l.end()
+	l.records = append(l.records, jaystore.Record{Key: key, Value: value, Position: position})
 	l.writes++
 	close(l.changed)
 	l.changed = make(chan struct{})
 	time.AfterFunc(keep, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.first = max(l.first, offset+1)
+		if l.era == era {
+			l.first = max(l.first, offset+1)
+		}
 	})
-	return offset
+	return position
+}
+
+// end returns the position after the newest record.
+func (l *memberLog) end() jaystore.Position {
+	return jaystore.NewPosition(l.era, int64(len(l.records)))
+}
+
+// length returns the number of records.
+func (l *memberLog) length() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
+// restore has the store come back from a copy that has the first records only.
+func (l *memberLog) restore(length int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era, l.records, l.first = l.era+1, slices.Clone(l.records[:length]), min(l.first, length)
+	for n := range l.records {
+		l.records[n].Position = jaystore.NewPosition(l.era, int64(n))
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
 }
 
 // newest returns the newest record of each key and the end of the topic.
@@ -64,7 +92,7 @@
 			delete(newest, r.Key)
 		}
 	}
-	return newest, jaystore.Position(len(l.records))
+	return newest, l.end()
 }
 
 // entries returns the listed incarnations by name.
@@ -125,8 +153,8 @@
 	}
 	i.log.mu.Lock()
 	defer i.log.mu.Unlock()
-	if end != jaystore.Position(len(i.log.records)) {
-		return jayerror.Newf("put", jaystore.KindConflict, "topic ends at %d, not at %d", len(i.log.records), end)
+	if end != i.log.end() {
+		return jayerror.Newf("put", jaystore.KindConflict, "topic ends at %s, not at %s", i.log.end(), end)
 	}
 	i.log.put(key, value)
 	return nil
@@ -151,11 +179,13 @@
 			return nil, from, err
 		}
 		i.log.mu.Lock()
-		records, end, first, changed := slices.Clone(i.log.records[from:]), jaystore.Position(len(i.log.records)), i.log.first, i.log.changed
-		i.log.mu.Unlock()
-		if from < first {
+		end, changed := i.log.end(), i.log.changed
+		if from.Era() != end.Era() || from.Offset() < int64(i.log.first) {
+			i.log.mu.Unlock()
 			return nil, from, jayerror.New("read", jaystore.KindExpired, "records have expired")
 		}
+		records := slices.Clone(i.log.records[from.Offset():])
+		i.log.mu.Unlock()
 		if len(records) > 0 || interrupt == nil {
 			return records, end, nil
 		}
@@ -347,6 +377,31 @@
 		"cut off, and removed meanwhile": {func(s *memberSite) {
 			s.isolate(4, 5*time.Minute, true)
 		}, 10 * time.Second},
+		"the store loses a registration": {func(s *memberSite) {
+			length := s.log.length()
+			s.start(6)
+			time.Sleep(3 * time.Second)
+			s.log.restore(length)
+		}, 10 * time.Second},
+		"the store loses a registration under the name of a former instance": {func(s *memberSite) {
+			s.kill(3)
+			length := s.log.length()
+			s.start(3)
+			time.Sleep(3 * time.Second)
+			s.log.restore(length)
+		}, 10 * time.Second},
+		"the store loses a removal": {func(s *memberSite) {
+			s.kill(3)
+			length := s.log.length()
+			time.Sleep(time.Minute)
+			s.log.restore(length)
+		}, time.Minute},
+		"the store loses a removal in a planned stop": {func(s *memberSite) {
+			length := s.log.length()
+			s.instances[2].roster.Leave(s.t.Context())
+			s.kill(2)
+			s.log.restore(length)
+		}, time.Minute},
 		"one reaches only the store": {func(s *memberSite) {
 			s.isolate(4, 3*time.Minute, false)
 		}, 10 * time.Second},
@@ -450,3 +505,31 @@
 		}
 	})
 }
+
+// Guards against an instance that takes an entry of its name, which another has written since the store came back from a copy,
+// for one that the copy has again.
+func TestLaterEntryOfOwnNameIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newMemberSite(t, 2)
+		defer s.stop()
+		time.Sleep(5 * time.Second)
+		s.log.restore(s.log.length())
+		time.Sleep(2 * time.Second)
+		value, err := msgpack.Marshal(jaylist.Instance{Name: "i1", Sort: jaylist.SortEntry, Incarnation: "other"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.log.mu.Lock()
+		s.log.put("i1", value)
+		s.log.mu.Unlock()
+		time.Sleep(listedAgain / 2)
+		if got := s.log.entries()["i1"]; got != "other" {
+			t.Errorf("entry is of incarnation %q, want that of the later writer", got)
+		}
+		s.log.mu.Lock()
+		s.log.put("i1", nil)
+		s.log.mu.Unlock()
+		time.Sleep(time.Second)
+		s.checkEntries()
+	})
+}
--- a/jay/jayroster/list.go
+++ b/jay/jayroster/list.go
@@ -60,4 +60,8 @@
 		return
 	}
 	s.listed[record.Key] = instance
+	// The entry has another position once the store has come back from a copy.
+	if instance.Incarnation == r.self.Incarnation && s.registeredAt >= 0 {
+		s.registeredAt = max(s.registeredAt, record.Position)
+	}
 }
