Test the duties over a store that comes back from a copy

The play of sixty instances in virtual time now covers returns from a copy that lacks the newest four records or all, after half a second without the store.

--- a/jay/jayedge/duty_test.go
+++ b/jay/jayedge/duty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,7 @@
 	records []jaystore.Record
 	// first is the offset of the oldest record that can still be read.
 	first jaystore.Position
+	era   int64
 	down  bool
 	// rejected are the instances whose calls fail at once.
 	rejected map[string]bool
@@ -64,7 +66,7 @@
 	if err := c.enter("newest"); err != nil {
 		return nil, 0, err
 	}
-	return c.records[max(0, len(c.records)-1):], jaystore.Position(len(c.records)), nil
+	return c.records[max(0, len(c.records)-1):], c.end(), nil
 }
 
 func (c dutyClient) Read(_ context.Context, topic jaystore.Topic, from jaystore.Position, _ <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
@@ -80,10 +82,10 @@
 	if err := c.enter("read"); err != nil {
 		return nil, 0, err
 	}
-	if from < c.first {
+	if from < c.first || from.Era() != c.era {
 		return nil, 0, jayerror.New("read", jaystore.KindExpired, "expired")
 	}
-	return c.records[from:], jaystore.Position(len(c.records)), nil
+	return c.records[from.Offset():], c.end(), nil
 }
 
 func (c dutyClient) Put(context.Context, jaystore.Topic, string, []byte) (jaystore.Position, error) {
@@ -97,13 +99,28 @@
 	if err := c.enter("put"); err != nil {
 		return err
 	}
-	if end != jaystore.Position(len(c.records)) {
+	if end != c.end() {
 		return jayerror.New("put", jaystore.KindConflict, "the topic has other records")
 	}
 	c.records = append(c.records, jaystore.Record{Key: key, Value: value, Position: end})
 	return nil
 }
 
+// end returns the position after the newest record.
+func (s *dutyStore) end() jaystore.Position {
+	return jaystore.NewPosition(s.era, int64(len(s.records)))
+}
+
+// restore has the store come back from a copy that lacks the newest records.
+func (s *dutyStore) restore(lost int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era, s.records = s.era+1, slices.Clone(s.records[:max(0, len(s.records)-lost)])
+	for n := range s.records {
+		s.records[n].Position = jaystore.NewPosition(s.era, int64(n))
+	}
+}
+
 // newest returns the newest record.
 func (s *dutyStore) newest(t *testing.T) jayduty.Record {
 	s.mu.Lock()
--- a/jay/jayedge/dutyfault_test.go
+++ b/jay/jayedge/dutyfault_test.go
@@ -101,7 +101,9 @@
 		// The store is down for all between down and up.
 		down, up  time.Duration
 		failDelay time.Duration
-		vacant    time.Duration
+		// lost is the number of records that the store lacks at up.
+		lost   int
+		vacant time.Duration
 	}{
 		"holder cut off":                                    {until: time.Minute, vacant: 6 * time.Second},
 		"holder and candidate cut off":                      {both: true, until: time.Minute, vacant: 8 * time.Second},
@@ -111,6 +113,9 @@
 		"half of the instances without answers":             {both: true, others: half, until: 18 * time.Second, failDelay: time.Second, vacant: 8 * time.Second},
 		"store down":                                        {down: 8 * time.Second, up: 18 * time.Second, vacant: 9 * time.Second},
 		"store without answers":                             {down: 8 * time.Second, up: 18 * time.Second, failDelay: time.Second, vacant: 9500 * time.Millisecond},
+		"newest records lost":                               {down: 8 * time.Second, up: 8500 * time.Millisecond, lost: 4, vacant: 4 * time.Second},
+		"all records lost":                                  {down: 8 * time.Second, up: 8500 * time.Millisecond, lost: 1000, vacant: 4 * time.Second},
+		"newest records lost, holder cut off":               {until: time.Minute, down: 8 * time.Second, up: 8500 * time.Millisecond, lost: 4, vacant: 7 * time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -128,6 +133,9 @@
 					if now < 8*time.Second || now >= test.until {
 						rejected = nil
 					}
+					if now == test.up && test.lost > 0 {
+						s.store.restore(test.lost)
+					}
 					s.store.reject(now >= test.down && now < test.up, names(rejected...)...)
 				})
 				calls := s.calls() - before
