End a lease after a record of a former era that came late

An append of a former era that is accepted late, since the topic ends at its offset again, may hide the claim of another instance from a holder that reads only the newest record. The holder, whose lease had run out meanwhile, renewed it under its lower token.

Cause: a record under a token of a former era left the lease of the own era as it was.

Change: it ends that lease, as a record of another instance does; the holder claims anew after the usual time.

--- a/jay/jayduty/machine.go
+++ b/jay/jayduty/machine.go
@@ -307,6 +307,10 @@
 	switch {
 	case record.Kind == KindFormer:
 		m.resigned = false
+		// In the era of the lease, the record came late and may hide a claim.
+		if eraOf(m.lease.Fence) >= position.Era() {
+			m.lease = Lease{}
+		}
 		return
 	case !m.own() || record.Kind == KindRelease:
 		m.lease, m.resigned = Lease{}, false
--- a/jay/jayduty/machine_test.go
+++ b/jay/jayduty/machine_test.go
@@ -242,3 +242,18 @@
 		})
 	}
 }
+
+// Guards against a lease that is renewed after a record of a former era came late, which may hide the claim of another instance.
+func TestLateRecordOfFormerEraEndsLease(t *testing.T) {
+	o := newTopic(t)
+	o.restore(0)
+	o.run(10*time.Second, true)
+	if _, ok := o.holds(); !ok {
+		t.Fatal("does not hold the duties")
+	}
+	o.write(jayduty.Record{Kind: jayduty.KindRenew, Machine: "other", Incarnation: "other", Fence: 1, Nonce: "x"})
+	o.run(ttl/4+50*time.Millisecond, true)
+	if fence, _ := o.holds(); fence != 0 {
+		t.Errorf("fencing token = %d, want none", fence)
+	}
+}
