Read the topic of the duties before a claim on an old read

An instance that had been no candidate for 6 s, since its token was refused, claimed on what it had read before the store came back from a copy. The topic ended at that offset again, so that the claim was accepted, ended the lease of the holder, and all had to wait it out.

Cause: a release that was read once allowed a claim at any later time.

Change: a claim needs a read of the last second (ReadInterval), as a candidate makes anyway.

--- a/jay/jayduty/machine.go
+++ b/jay/jayduty/machine.go
@@ -131,10 +131,10 @@
 		return wait(never)
 	case m.position == start:
 		return m.read()
-	case m.claimable(now):
-		return m.append(now, KindClaim)
 	case now-m.readAt >= ReadInterval:
 		return m.read()
+	case m.claimable(now):
+		return m.append(now, KindClaim)
 	}
 	return wait(min(m.readAt+ReadInterval, m.seenAt+m.TTL+ClaimMargin))
 }
--- a/jay/jayduty/machine_test.go
+++ b/jay/jayduty/machine_test.go
@@ -257,3 +257,15 @@
 		t.Errorf("fencing token = %d, want none", fence)
 	}
 }
+
+// Guards against a claim on a read of long ago, which a store that came back from a copy may accept by accident, so that
+// all wait for it.
+func TestClaimNeedsRecentRead(t *testing.T) {
+	o := newTopic(t)
+	o.write(jayduty.Record{Kind: jayduty.KindRelease, Machine: "other", Incarnation: "other", Fence: 1, Nonce: "x"})
+	o.machine.ApplyNewest(o.now, o.records, o.end())
+	step := o.machine.Next(o.now+jayduty.ReadInterval, true)
+	if step.Action != jayduty.ActionRead || step.End != o.end() {
+		t.Errorf("step = %+v, want a read", step)
+	}
+}
