Test that the policy in force stays across eras of the store

No fault was found: an older policy of a copy does not replace it, the same one that is written again counts as confirmed, and a newer one comes into force.

--- a/jay/jayedge/confirm_test.go
+++ b/jay/jayedge/confirm_test.go
@@ -161,3 +161,46 @@
 		}
 	})
 }
+
+// Guards against a policy in force that goes back when the store comes back from a copy, and against one that is written again and does
+// not count as confirmed.
+func TestPolicyInForceAcrossEras(t *testing.T) {
+	at := jaystore.NewPosition
+	record := func(position jaystore.Position, value string) jaystore.Record {
+		return jaystore.Record{Key: "p", Value: []byte(value), Position: position}
+	}
+	tests := map[string]struct {
+		snapshot []jaystore.Record
+		end      jaystore.Position
+		then     []jaystore.Record
+		want     int64
+	}{
+		"copy has an older one":             {[]jaystore.Record{record(at(1, 4), "5")}, at(1, 5), nil, 7},
+		"copy has none":                     {nil, at(1, 0), nil, 7},
+		"the newest is written again":       {[]jaystore.Record{record(at(1, 4), "5")}, at(1, 5), []jaystore.Record{record(at(1, 5), "7")}, 7},
+		"a newer one is written":            {[]jaystore.Record{record(at(1, 4), "5")}, at(1, 5), []jaystore.Record{record(at(1, 5), "8")}, 8},
+		"the lost ones are written again":   {[]jaystore.Record{record(at(1, 4), "5")}, at(1, 5), []jaystore.Record{record(at(1, 5), "6"), record(at(1, 6), "7")}, 7},
+		"one that was not read was lost":    {[]jaystore.Record{record(at(1, 4), "8")}, at(1, 5), nil, 8},
+		"two eras later, with an older one": {[]jaystore.Record{record(at(2, 1), "2")}, at(2, 2), nil, 7},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPolicies(policyAdapter{}, slog.New(slog.DiscardHandler), func(*jaytraffic.Policy) {})
+				p.mirror.MarkPending(time.Now(), 10)
+				p.mirror.Replace(t.Context(), []jaystore.Record{record(9, "7")}, 10)
+				time.Sleep(time.Second)
+				p.mirror.MarkPending(time.Now(), test.end)
+				p.mirror.Replace(t.Context(), test.snapshot, test.end)
+				if len(test.then) > 0 {
+					time.Sleep(time.Second)
+					p.mirror.MarkPending(time.Now(), test.then[len(test.then)-1].Position+1)
+					p.mirror.Apply(t.Context(), test.then)
+				}
+				if version := p.Policy().Version; version != test.want || p.Age() != 0 {
+					t.Errorf("version %d is in force, confirmed %s ago, want %d, confirmed now", version, p.Age(), test.want)
+				}
+			})
+		})
+	}
+}
