--- a/jay/jayroster/fetch_test.go
+++ b/jay/jayroster/fetch_test.go
@@ -5,13 +5,16 @@
 	"log/slog"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaypeer"
+	"jayfield.example/jay/jaystandin"
 	"jayfield.example/jay/jaystore"
 )
 
@@ -82,6 +85,51 @@
 	return nil
 }
 
+// unavailableStore answers nothing.
+type unavailableStore struct{ noWriter }
+
+func (unavailableStore) Newest(context.Context, jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
+	return nil, 0, jayerror.New("newest", jaystore.KindUnavailable, "no answer")
+}
+
+func (unavailableStore) Read(context.Context, jaystore.Topic, jaystore.Position, <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
+	return nil, 0, jayerror.New("read", jaystore.KindUnavailable, "no answer")
+}
+
+// Guards against an instance that refuses the copies of all others while the store is away, since the store once refused its
+// position: it has taken a newer copy since.
+func TestCopyIsTakenAfterRefusedPosition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		at, key, log := jaystore.NewPosition, []byte("0123456789abcdef"), slog.New(slog.DiscardHandler)
+		body, err := msgpack.Marshal(map[string]any{"v": mirrorVersion, "n": at(1, 9)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		network := jaystandin.NewNetwork()
+		defer network.Close()
+		host, other := network.Host("10.0.0.1:1", 1<<30), network.Host("10.0.0.2:1", 1<<30)
+		server := jaypeer.NewServer(other.Listen(), key, cannedPeer(body), log)
+		defer server.Stop()
+		roster := Start(Options{
+			Self: jaymember.Member{Name: "i", Incarnation: "1"}, Source: noSource{}, Writer: noWriter{}, Key: key, Listener: host.Listen(), Log: log,
+			Series: jaymetric.NewExposition(), Changed: func([]jaymember.Status, int) {}, Client: []jaypeer.ClientOption{jaypeer.WithDialer(host)},
+		})
+		defer roster.Stop()
+		mirror := jaystore.NewMirror(discardConsumer{})
+		mirror.MarkRead(time.Now(), 62)
+		reader := roster.TopicReader(unavailableStore{}, jaystore.TopicPolicy, mirror, time.Second, 0)
+		reader.refused = true
+		for n := range 2 {
+			roster.others.Store(&[]jaymember.Status{{Member: jaymember.Member{Name: "j", Peer: "10.0.0.2:1"}}})
+			records, end, err := reader.Newest(t.Context(), jaystore.TopicPolicy)
+			if err != nil || end != at(1, 9) {
+				t.Fatalf("copy %d: end %s, %v", n, end, err)
+			}
+			mirror.Replace(t.Context(), records, end)
+		}
+	})
+}
+
 // Guards against offsets of a former release, which have no era, that are taken for positions.
 func TestPositionsOfFormerReleaseAreNotUsed(t *testing.T) {
 	data, err := msgpack.Marshal(map[string]any{"m": map[string]any{"policy": map[string]any{"n": 62, "a": 0}}})
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -80,8 +80,7 @@
 	own, least := t.mirror.Next(), t.leastNext()
 	if p, ok := t.zonePosition(); ok {
 		if f := t.fetch(ctx, p.peer, -1, fetchBound); f.result == resultFetched && f.next >= least {
-			t.logNewest(p.peer, own, f.next, len(f.records))
-			t.mirror.MarkPending(f.at, f.next)
+			t.useCopy(p.peer, own, f)
 			return f.records, f.next, nil
 		}
 	}
@@ -94,13 +93,19 @@
 		return list, end, nil
 	}
 	if f, ok := t.fetchFallback(ctx, -1); ok && f.next > -1 && f.next >= least {
-		t.logNewest("another instance", own, f.next, len(f.records))
-		t.mirror.MarkPending(f.at, f.next)
+		t.useCopy("another instance", own, f)
 		return f.records, f.next, nil
 	}
 	return nil, 0, err //nolint:wrapcheck // The store's errors are those of jaystore.
 }
 
+// useCopy records that the copy of another instance replaces the own one, whose position is no longer the one that the store refused.
+func (t *TopicReader) useCopy(source string, own jaystore.Position, f fetched) {
+	t.refused = false
+	t.logNewest(source, own, f.next, len(f.records))
+	t.mirror.MarkPending(f.at, f.next)
+}
+
 // logNewest logs from where the newest records came, and the own position before.
 func (t *TopicReader) logNewest(source string, own, next jaystore.Position, records int) {
 	t.roster.log.Info("newest records read", "topic", t.topic, "source", source, "own", own, "next", next, "records", records)
