Register an instance again if the store has lost its restart

An instance that restarts and whose registration is lost, since the store comes back from a copy, stays listed under its former incarnation until others remove that, 15 s later: those that start meanwhile do not know it.

Cause: an entry of the own name that is not the own one was always taken for that of a successor.

Change: it is not if the store has come back since the registration.

Failed before: TestEntriesAreThoseOfLiveInstances/the_store_loses_a_restart ("i1 (007) is alive and not listed for 2.1s") and the_store_loses_a_restart_twice. A start that is lost passed before.

--- a/jay/jayroster/entry.go
+++ b/jay/jayroster/entry.go
@@ -53,13 +53,17 @@
 }
 
 // checkEntry registers the instance again if the list no longer contains it: instances that could not
-// reach it for some time have removed its entry. An entry of its name that is not its own is kept, since its writer
-// registered later.
+// reach it for some time have removed its entry, or the store has lost it. An entry of its name that is not its own is kept, since
+// its writer registered later, unless the store has come back from a copy since: the entry may be of before.
 func (r *Roster) checkEntry(s *state) {
-	if _, listed := s.listed[r.self.Name]; listed || s.registeredAt < 0 || s.registeredAt >= s.listEnd || r.leaving.Load() {
+	entry, listed := s.listed[r.self.Name]
+	if listed && (entry.Incarnation == r.self.Incarnation || s.registeredAt.Era() == s.listEnd.Era()) {
 		return
 	}
-	r.log.Warn("entry of this instance was removed by another; registering again", "instance", r.self.Name, "incarnation", r.self.Incarnation,
+	if s.registeredAt < 0 || s.registeredAt >= s.listEnd || r.leaving.Load() {
+		return
+	}
+	r.log.Warn("entry of this instance was removed or lost; registering again", "instance", r.self.Name, "incarnation", r.self.Incarnation,
 		"offset", s.registeredAt, "end", s.listEnd)
 	s.registeredAt = notRegistered
 	r.group.Go(r.register)
--- a/jay/jayroster/entry_test.go
+++ b/jay/jayroster/entry_test.go
@@ -27,7 +27,9 @@
 
 // memberLog is the topic of the members. It keeps the records of a short time only, and the newest of each key.
 type memberLog struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era is the number of times that the topic came back from a copy.
+	era     int64
 	records []jaystore.Record
 	// first is the oldest offset that can still be read.
 	first   jaystore.Position
@@ -40,7 +42,7 @@
 const keep = 20 * time.Second
 
 func (l *memberLog) put(key string, value []byte) jaystore.Position {
-	offset := jaystore.Position(len(l.records))
+	offset := l.end()
 	l.records = append(l.records, jaystore.Record{Key: key, Value: value, Position: offset})
 	l.writes++
 	close(l.changed)
@@ -48,11 +50,31 @@
 	time.AfterFunc(keep, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.first = max(l.first, offset+1)
+		if l.era == offset.Era() {
+			l.first = max(l.first, offset+1)
+		}
 	})
 	return offset
 }
 
+func (l *memberLog) end() jaystore.Position {
+	return jaystore.NewPosition(l.era, int64(len(l.records)))
+}
+
+// restore begins an era with the first records of the topic.
+func (l *memberLog) restore(count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era++
+	l.records = slices.Clone(l.records[:count])
+	for n := range l.records {
+		l.records[n].Position = jaystore.NewPosition(l.era, int64(n))
+	}
+	l.first = jaystore.NewPosition(l.era, min(l.first.Offset(), int64(count)))
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 // newest returns the newest record of each key and the end of the topic.
 func (l *memberLog) newest() (map[string]jaystore.Record, jaystore.Position) {
 	l.mu.Lock()
@@ -64,7 +86,7 @@
 			delete(newest, r.Key)
 		}
 	}
-	return newest, jaystore.Position(len(l.records))
+	return newest, l.end()
 }
 
 // entries returns the listed incarnations by name.
@@ -125,8 +147,8 @@
 	}
 	i.log.mu.Lock()
 	defer i.log.mu.Unlock()
-	if end != jaystore.Position(len(i.log.records)) {
-		return jayerror.Newf("put", jaystore.KindConflict, "topic ends at %d, not at %d", len(i.log.records), end)
+	if end != i.log.end() {
+		return jayerror.Newf("put", jaystore.KindConflict, "topic ends at %s, not at %s", i.log.end(), end)
 	}
 	i.log.put(key, value)
 	return nil
@@ -151,11 +173,13 @@
 			return nil, from, err
 		}
 		i.log.mu.Lock()
-		records, end, first, changed := slices.Clone(i.log.records[from:]), jaystore.Position(len(i.log.records)), i.log.first, i.log.changed
-		i.log.mu.Unlock()
-		if from < first {
+		end, first, changed := i.log.end(), i.log.first, i.log.changed
+		if from < first || from > end {
+			i.log.mu.Unlock()
 			return nil, from, jayerror.New("read", jaystore.KindExpired, "records have expired")
 		}
+		records := slices.Clone(i.log.records[from.Offset():])
+		i.log.mu.Unlock()
 		if len(records) > 0 || interrupt == nil {
 			return records, end, nil
 		}
@@ -297,6 +321,28 @@
 				time.Sleep(2 * time.Second)
 			}
 		}, time.Minute},
+		"the store loses a start": {func(s *memberSite) {
+			kept := len(s.log.records)
+			s.start(10)
+			time.Sleep(time.Second)
+			s.log.restore(kept)
+		}, 10 * time.Second},
+		"the store loses a restart": {func(s *memberSite) {
+			kept := len(s.log.records)
+			s.kill(1)
+			s.start(1)
+			time.Sleep(time.Second)
+			s.log.restore(kept)
+		}, 10 * time.Second},
+		"the store loses a restart twice": {func(s *memberSite) {
+			kept := len(s.log.records)
+			s.kill(1)
+			s.start(1)
+			for range 2 {
+				time.Sleep(time.Second)
+				s.log.restore(kept)
+			}
+		}, 10 * time.Second},
 		"all killed at once, others started": {func(s *memberSite) {
 			for n := range 6 {
 				s.kill(n)
