Hold back an earlier start that the store shows in place of a lost one

An instance that reads the recent records of a new era passes through starts of an upstream that it has forgotten. One of them was taken for registered, its removal for an expiry, and the upstream, which had left since, got requests for 2 s.

Cause: a start that an earlier era does not know was taken for later than all of it.

Change: one whose start time is lower than that of the current start of an earlier era, and which is registered before that start is seen in the new era, is held back as a doubted one, and counts after LateGrace if nothing follows: the clock may have been set back.

In the model, writes without an answer are lost with the store that would have executed them, and late writes come again with the recent records.

--- a/jay/jayedge/registry_test.go
+++ b/jay/jayedge/registry_test.go
@@ -55,17 +55,19 @@
 	return jaystore.NewPosition(l.era, int64(len(l.records)))
 }
 
-// restore begins an era without the records of the last while.
-func (l *registryLog) restore(lost time.Duration) {
+// restore begins an era without the records of the last while, which it returns.
+func (l *registryLog) restore(lost time.Duration) []jaystore.Record {
 	count := len(l.records)
 	for count > 0 && time.Since(l.at[count-1]) < lost {
 		count--
 	}
 	l.era++
+	dropped := l.records[count:]
 	l.records, l.at = slices.Clone(l.records[:count]), slices.Clone(l.at[:count])
 	for n := range l.records {
 		l.records[n].Position = jaystore.NewPosition(l.era, int64(n))
 	}
+	return dropped
 }
 
 func (l *registryLog) put(key string, value []byte) {
@@ -309,21 +311,29 @@
 
 // restore has the store come back from a copy, at times again at once.
 func (w *registryWorld) restore() {
-	for range rapid.IntRange(1, 2).Draw(w.T, "restores") {
-		w.log.restore(time.Duration(rapid.IntRange(0, 4000).Draw(w.T, "lost")) * time.Millisecond)
+	restores := rapid.IntRange(1, 2).Draw(w.T, "restores")
+	lost := make([]jaystore.Record, 0, len(w.log.records))
+	for range restores {
+		lost = append(lost, w.log.restore(time.Duration(rapid.IntRange(0, 4000).Draw(w.T, "lost"))*time.Millisecond)...)
 	}
 	now := time.Now()
 	w.lostAt, w.restoredAt = now, now
+	// The store that would still have executed them is gone.
+	w.log.late = nil
 	for _, e := range w.engines {
 		newest, _ := w.log.newest(e.upstream.ID)
 		var u jayfleet.Upstream
 		listed := len(newest.Value) > 0 && json.Unmarshal(newest.Value, &u) == nil
 		e.forgotten = e.gone && (!listed || u.Born != e.upstream.Born || !u.Leaving)
 		// An entry whose removal was lost is not back until its upstream registers.
-		e.listed = e.listed && e.running && listed && u.Born == e.upstream.Born
-		// The start before the current one may be the newest again.
+		removed := slices.ContainsFunc(lost, func(r jaystore.Record) bool { return r.Key == e.upstream.ID && len(r.Value) == 0 })
+		e.listed = e.listed && !removed && e.running && listed && u.Born == e.upstream.Born
+		// A start before the current one may be the newest again, and late writes are read again with the recent records.
 		e.setBack = e.setBack || e.upstream.Born < e.latest
 		e.doubtedAt = now.Add(beatInterval)
+		if now.Sub(e.earlierAt) < historyTime {
+			e.earlierAt = now
+		}
 	}
 }
 
--- a/jay/jayfleet/eras.go
+++ b/jay/jayfleet/eras.go
@@ -63,36 +63,52 @@
 	for n := len(h.eras) - 1; n >= 0; n-- {
 		if latest := h.eras[n].history; !latest.IsEmpty() {
 			u, registered := latest.Registered()
-			u, registered = h.before(n).override(u, registered)
+			u, registered = h.before(n).override(latest, u, registered)
 			return u, registered && n == len(h.eras)-1
 		}
 	}
 	return Upstream{}, false
 }
 
-// override returns what the history says of an upstream as it is registered in a later era.
-func (h History) override(u Upstream, registered bool) (Upstream, bool) {
+// override returns what the history says of an upstream as it is registered in a later era. Registrations without a start time
+// and a sequence number are ordered by their offsets alone.
+func (h History) override(latest eraHistory, u Upstream, registered bool) (Upstream, bool) {
 	if u.Born == 0 && u.Sequence == 0 {
 		return u, registered
 	}
 	for _, e := range slices.Backward(h.eras) {
-		known, ok := e.history.start(u.Born)
-		if !ok || u.Sequence > known.newest.upstream.Sequence {
-			continue
-		}
-		current, holds := e.history.Registered()
-		if current.Born != u.Born && !e.history.ended(u.Born) {
-			current, holds = known.registered(), e.history.holds(known)
-		}
-		if u.Leaving && !known.registered().Leaving {
-			// A start that is later than all of that era is leaving.
-			current.Leaving, current.LeavesIn = true, u.LeavesIn
-		}
-		u, registered = current, registered && holds
+		u, registered = e.history.override(latest, u, registered)
 	}
 	return u, registered
 }
 
+func (h eraHistory) override(latest eraHistory, u Upstream, registered bool) (Upstream, bool) {
+	current, holds := h.Registered()
+	known, ok := h.start(u.Born)
+	switch {
+	case h.mayFollow(latest, u):
+	case !ok || u.Sequence > known.newest.upstream.Sequence:
+		return u, registered
+	case current.Born != u.Born && !h.ended(u.Born):
+		current, holds = known.registered(), h.holds(known)
+	}
+	if u.Leaving && !known.registered().Leaving {
+		// A start that is later than those of that era is leaving.
+		current.Leaving, current.LeavesIn = true, u.LeavesIn
+	}
+	return current, registered && holds
+}
+
+// mayFollow reports whether the current start may have followed that of an upstream as it is registered in a later era, which lacks the
+// records of the current start or has yet to show them.
+func (h eraHistory) mayFollow(latest eraHistory, u Upstream) bool {
+	current, _ := h.Registered()
+	_, known := h.start(u.Born)
+	_, seen := latest.start(current.Born)
+	other, _ := latest.start(u.Born)
+	return u.Born < current.Born && !known && !seen && !other.confirmed
+}
+
 // Since returns the offset at which the current start was first observed.
 func (h History) Since() jaystore.Position {
 	u, _ := h.Registered()
@@ -112,7 +128,15 @@
 	if len(h.eras) == 0 {
 		return 0, 0
 	}
-	return h.latest().history.Doubted()
+	latest := h.latest().history
+	if born, hold = latest.Doubted(); hold > 0 {
+		return born, hold
+	}
+	u, registered := latest.Registered()
+	if registered && slices.ContainsFunc(h.eras, func(e numberedEra) bool { return e.history.mayFollow(latest, u) }) {
+		return u.Born, LateGrace
+	}
+	return 0, 0
 }
 
 // Confirmed returns the history with the start with a start time as the current one.
--- a/jay/jayfleet/eras_test.go
+++ b/jay/jayfleet/eras_test.go
@@ -62,6 +62,15 @@
 		"start whose clock was set back leaves": {
 			[]eraRecord{{0, 9, 2, 1, false}, {1, 9, 2, 1, false}, {1, 10, 1, 1, false}, {1, 11, 1, 2, true}}, true, true, 2,
 		},
+		"an earlier start comes again first": {
+			[]eraRecord{{0, 9, 2, 1, false}, {0, 11, 0, 0, false}, {1, 9, 2, 1, false}, {1, 4, 1, 1, false}}, false, false, 2,
+		},
+		"clock was set back after the copy": {
+			[]eraRecord{{0, 9, 2, 1, false}, {1, 9, 2, 1, false}, {1, 10, 0, 0, false}, {1, 11, 1, 1, false}, {1, 12, 0, 0, false}, {1, 13, 1, 2, false}}, true, false, 1,
+		},
+		"clock was set back after a lost start, then it leaves": {
+			[]eraRecord{{0, 9, 2, 1, false}, {1, 7, 1, 1, false}, {1, 8, 1, 2, true}}, true, true, 2,
+		},
 		"records of the former era come late": {
 			[]eraRecord{{1, 9, 1, 5, false}, {0, 9, 1, 5, false}, {0, 11, 0, 0, false}}, false, false, 1,
 		},
