--- a/jay/jayroster/entry_test.go
+++ b/jay/jayroster/entry_test.go
@@ -390,6 +390,15 @@
 			time.Sleep(3 * time.Second)
 			s.log.restore(length)
 		}, 10 * time.Second},
+		"the store loses a registration under the name of a former instance twice": {func(s *memberSite) {
+			s.kill(3)
+			length := s.log.length()
+			s.start(3)
+			for range 2 {
+				time.Sleep(time.Second)
+				s.log.restore(length)
+			}
+		}, 10 * time.Second},
 		"the store loses a removal": {func(s *memberSite) {
 			s.kill(3)
 			length := s.log.length()
