--- /dev/null
+++ b/jay/jayedge/streamsreview_test.go
@@ -0,0 +1,188 @@
+package jayedge
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jayfield.example/jay/jayerror"
+	"jayfield.example/jay/jaymetric"
+	"jayfield.example/jay/jaystore"
+	"jayfield.example/jay/jaystream"
+)
+
+// compactedLog is a store that keeps the newest records of the registry only.
+type compactedLog struct {
+	*streamLog
+
+	mu      sync.Mutex
+	removed map[string]bool
+	first   jaystore.Position
+	// failures is the number of reads of the log that fail next.
+	failures int
+}
+
+func (s *compactedLog) compact(removed ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removed, s.first = make(map[string]bool), jaystore.Position(len(s.registry))
+	for _, id := range removed {
+		s.removed[id] = true
+	}
+}
+
+func (s *compactedLog) Read(ctx context.Context, topic jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
+	s.mu.Lock()
+	first := s.first
+	s.mu.Unlock()
+	if from < first {
+		return nil, 0, jayerror.New("read", jaystore.KindExpired, "compacted")
+	}
+	return s.streamLog.Read(ctx, topic, from, interrupt)
+}
+
+func (s *compactedLog) Newest(ctx context.Context, _ jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
+	if err := s.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var records []jaystore.Record
+	for _, r := range s.registry {
+		if !s.removed[r.Key] {
+			records = append(records, r)
+		}
+	}
+	return records, jaystore.Position(len(s.registry)), nil
+}
+
+func (s *compactedLog) ReadLog(ctx context.Context, topic jaystore.Topic, from jaystore.Position) ([][]byte, jaystore.Position, error) {
+	s.mu.Lock()
+	failed := s.failures > 0
+	if failed {
+		s.failures--
+	}
+	s.mu.Unlock()
+	if failed {
+		return nil, 0, jayerror.New("read", jaystore.KindUnavailable, "status 429")
+	}
+	return s.streamLog.ReadLog(ctx, topic, from)
+}
+
+func (s *compactedLog) start(ctx context.Context) *streams {
+	instance := newStreams(streamOptions{
+		adapter: jsonAdapter{}, store: s, instances: func() int { return 3 }, run: func(run func(context.Context)) { go run(ctx) },
+		series: jaymetric.NewExposition(), log: slog.New(slog.DiscardHandler),
+	})
+	s.load(instance)
+	go instance.Run(ctx)
+	return instance
+}
+
+// Guards against an instance that joins two versions since a snapshot of the registry skipped the entries of one.
+func TestVersionThatASnapshotSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &compactedLog{streamLog: &streamLog{delay: 4 * time.Millisecond}}
+		store.register("a", "1")
+		first, behind := store.start(ctx), store.start(ctx)
+		time.Sleep(time.Minute)
+		store.register("b", "2")
+		store.load(first)
+		first.Began(streamService, "x", "2")
+		time.Sleep(4 * time.Second)
+		store.compact("b")
+		if got, err := behind.Version(ctx, streamService, "x"); got != "2" {
+			t.Errorf("version = %q, %v; want 2, as recorded", got, err)
+		}
+	})
+}
+
+// Guards against a stream that is refused since one read of the log was refused.
+func TestLookUpAfterOneRefusedRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &compactedLog{streamLog: &streamLog{delay: 4 * time.Millisecond}}
+		store.register("a", "1")
+		store.register("b", "2")
+		first, other := store.start(ctx), store.start(ctx)
+		time.Sleep(time.Second)
+		first.Began(streamService, "x", "2")
+		time.Sleep(time.Second)
+		store.mu.Lock()
+		store.failures = 1
+		store.mu.Unlock()
+		if got, err := other.Version(ctx, streamService, "x"); got != "2" {
+			t.Errorf("version = %q, %v; want 2, as recorded", got, err)
+		}
+	})
+}
+
+// Guards against instances that use up the calls of the store when callers come back one after another.
+func TestLookUpsThatFollowEachOtherShareReads(t *testing.T) {
+	for name, versions := range map[string][]string{"one version": {"1"}, "two versions": {"1", "2"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &streamLog{delay: 4 * time.Millisecond}
+				for n, version := range versions {
+					store.register(string(rune('a'+n)), version)
+				}
+				instance, _ := store.start(ctx)
+				time.Sleep(time.Minute)
+				before := store.total()
+				var group sync.WaitGroup
+				for range 1000 {
+					group.Go(func() {
+						_, _ = instance.Version(ctx, streamService, "x") // Unknown, or the only version.
+					})
+					time.Sleep(time.Millisecond)
+				}
+				group.Wait()
+				if calls := store.total() - before; calls > 50 {
+					t.Errorf("%d calls in a second for 1000 look-ups, want at most 50", calls)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream that is refused since the former record of it has expired, though it was recorded again since.
+func TestStreamThatWasRecordedAgain(t *testing.T) {
+	table, now := jaystream.NewTable(), time.Unix(1000, 0)
+	set := func() { table.SetRegistered(now, map[string][]string{streamService: {"1", "2"}}) }
+	set()
+	other := jaystream.NewTable()
+	other.SetRegistered(now, map[string][]string{streamService: {"1", "2"}})
+	other.Begin(now, streamService, "x", "2")
+	groups := other.Due(now)
+	table.Read(now, groups)
+	now = now.Add(9 * time.Second)
+	set()
+	table.Read(now, groups)
+	now = now.Add(2 * time.Second)
+	set()
+	table.Tick(now)
+	want := jaystream.Answer{Step: jaystream.StepDone, Result: jaystream.ResultRecorded, Version: "2"}
+	if got := table.LookUp(now, streamService, "x", jaystream.Progress{Reads: 3}); got != want {
+		t.Errorf("2 s after its latest record: %+v, want %+v", got, want)
+	}
+}
+
+// Guards against a stream that is refused since its last bytes were lost after the instance had written them.
+func TestStreamWhoseEndWasLost(t *testing.T) {
+	table, now := jaystream.NewTable(), time.Unix(1000, 0)
+	table.SetRegistered(now, map[string][]string{streamService: {"1", "2"}})
+	table.Begin(now, streamService, "x", "2")
+	table.End(now, streamService, "x", true)
+	want := jaystream.Answer{Step: jaystream.StepDone, Result: jaystream.ResultOwn, Version: "2"}
+	if got := table.LookUp(now, streamService, "x", jaystream.Progress{Reads: 3}); got != want {
+		t.Errorf("at the instance that sent its end: %+v, want %+v", got, want)
+	}
+}
