--- a/jay/jayedge/streamsreview_test.go
+++ b/jay/jayedge/streamsreview_test.go
@@ -186,3 +186,45 @@
 		t.Errorf("at the instance that sent its end: %+v, want %+v", got, want)
 	}
 }
+
+// Guards against large fleets in which most streams are refused whose instance runs on and whose connections broke.
+func TestBrokenStreamsGoOnInLargeFleet(t *testing.T) {
+	for name, instances := range map[string]int{"8 instances": 8, "100 instances": 100, "300 instances": 300, "983 instances": 983} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &streamLog{delay: 4 * time.Millisecond}
+				store.register("a", "1")
+				store.register("b", "2")
+				first, _ := store.start(ctx)
+				first.instances = func() int { return instances }
+				other, _ := store.start(ctx)
+				time.Sleep(20 * time.Second)
+				const streams = 40
+				wentOn := 0
+				for n := range streams {
+					// All connections of the instance break now and then, as by resets.
+					store.load(first)
+					store.load(other)
+					attempt := string(rune('A' + n))
+					first.Began(streamService, attempt, "2")
+					time.Sleep(400 * time.Millisecond)
+					first.Ended(streamService, attempt, false)
+					// Callers try three times, as the responses say.
+					for range 3 {
+						if _, err := other.Version(ctx, streamService, attempt); err == nil {
+							wentOn++
+							break
+						}
+						time.Sleep(unknownRetryAfter)
+					}
+				}
+				t.Logf("%d of %d streams went on", wentOn, streams)
+				if wentOn < streams/2 {
+					t.Errorf("%d of %d streams went on, want at least half", wentOn, streams)
+				}
+			})
+		})
+	}
+}
