--- a/jay/jayedge/streamsreview_test.go
+++ b/jay/jayedge/streamsreview_test.go
@@ -228,3 +228,61 @@
 		})
 	}
 }
+
+// Guards against a fleet that uses up the calls of the store, of which the platform allows 400 writes per second, while
+// callers leave streams.
+func TestFleetDoesNotUseUpWrites(t *testing.T) {
+	const allowed = 400
+	for name, instances := range map[string]int{"8 instances": 8, "10 instances": 10, "100 instances": 100, "983 instances": 983} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &streamLog{delay: 2 * time.Millisecond}
+				store.register("a", "1")
+				store.register("b", "2")
+				one, _ := store.start(ctx)
+				one.instances = func() int { return instances }
+				time.Sleep(30 * time.Second)
+				before, began := store.total(), time.Now()
+				for n := range 10_000 {
+					store.load(one)
+					attempt := "attempt-" + time.Duration(n).String()
+					one.Began(streamService, attempt, "2")
+					one.Ended(streamService, attempt, false)
+					time.Sleep(4 * time.Millisecond)
+				}
+				perSecond := float64(store.total()-before) / time.Since(began).Seconds()
+				t.Logf("%.1f calls per second of one instance, %.0f of all", perSecond, perSecond*float64(instances))
+				if total := perSecond * float64(instances); total > allowed {
+					t.Errorf("%.0f calls per second of all instances, want at most %d", total, allowed)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a log line whose size a caller chooses.
+func TestLookUpLogsShortAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &streamLog{}
+		store.register("a", "1")
+		instance, _ := store.start(ctx)
+		var written countingWriter
+		instance.log = slog.New(slog.NewTextHandler(&written, nil))
+		_, _ = instance.Version(ctx, streamService, string(make([]byte, 64<<10))) // Only the log counts.
+		if written > 4<<10 {
+			t.Errorf("%d bytes were logged for one look-up", written)
+		}
+	})
+}
+
+// countingWriter counts the bytes that are written.
+type countingWriter int
+
+func (w *countingWriter) Write(data []byte) (int, error) {
+	*w += countingWriter(len(data))
+	return len(data), nil
+}
