--- a/jay/jayfleet/eras.go
+++ b/jay/jayfleet/eras.go
@@ -82,6 +82,7 @@
 	return u, registered
 }
 
+// override returns what the history of one era says of an upstream as it is registered in a later one.
 func (h eraHistory) override(latest eraHistory, u Upstream, registered bool) (Upstream, bool) {
 	current, holds := h.Registered()
 	known, ok := h.start(u.Born)
--- a/jay/jayroster/era_test.go
+++ b/jay/jayroster/era_test.go
@@ -304,7 +304,7 @@
 			other.roster.Replace(ctx, z.list, jaystore.Position(len(z.list)))
 		}
 	}
-	policy, registry := jaystore.LongPolled(effectTime), jaystore.Polled(drainTime)
+	policy, registry := jaystore.LongPolled(effectTime), jaystore.Polled(drainTime).WithHistory(2)
 	i.follow(ctx, jaystore.TopicPolicy, policy, 0)
 	i.follow(ctx, jaystore.TopicUpstreams, registry, 250*time.Millisecond)
 	i.follow(ctx, jaystore.TopicMembers, jaystore.Freshness{MaxAge: memberAge}, 0)
@@ -312,7 +312,7 @@
 
 func (i *eraInstance) follow(ctx context.Context, topic jaystore.Topic, fresh jaystore.Freshness, interval time.Duration) {
 	mirror := jaystore.NewMirror(i.copies[topic])
-	reader := i.roster.TopicReader(i.store, topic, mirror, fresh.MaxAge, fresh.Interval).WithPollWait(fresh.Wait)
+	reader := i.roster.TopicReader(i.store, topic, mirror, fresh.MaxAge, fresh.Interval).WithPollWait(fresh.Wait).WithHistory(fresh.History)
 	follower := jaystore.NewFollower(reader, topic, mirror, interval, slog.New(slog.DiscardHandler))
 	i.running.Go(func() { follower.Run(ctx) })
 }
