--- a/jay/jayduty/machine.go
+++ b/jay/jayduty/machine.go
@@ -1,10 +1,9 @@
 package jayduty
 
 import (
+	"jayfield.example/jay/jaystore"
 	"math"
 	"time"
-
-	"jayfield.example/jay/jaystore"
 )
 
 const (
--- a/jay/jayedge/policy.go
+++ b/jay/jayedge/policy.go
@@ -58,7 +58,7 @@
 	p.markApplied(end)
 }
 
-// markApplied records that all records before an offset were processed.
+// markApplied records that all records before a position were processed.
 func (p *policies) markApplied(next jaystore.Position) {
 	p.applied.Store(max(p.applied.Load(), int64(next)))
 }
--- a/jay/jayfleet/fleet.go
+++ b/jay/jayfleet/fleet.go
@@ -2,10 +2,9 @@
 
 import (
 	"cmp"
+	"jayfield.example/jay/jaystore"
 	"slices"
 	"time"
-
-	"jayfield.example/jay/jaystore"
 )
 
 // RemovalGrace is how long after the store is available again an entry that expired during
--- a/jay/jaymember/member.go
+++ b/jay/jaymember/member.go
@@ -9,7 +9,6 @@
 
 	"jayfield.example/jay/jayfigure"
 	"jayfield.example/jay/jayprefix"
-
 	"jayfield.example/jay/jaystore"
 )
 
--- a/jay/jayroster/exchange.go
+++ b/jay/jayroster/exchange.go
@@ -10,7 +10,6 @@
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jaypeer"
-
 	"jayfield.example/jay/jaystore"
 )
 
@@ -23,7 +22,7 @@
 	To          string `msgpack:"o,omitempty"`
 	// Self is the heartbeat of the sender.
 	Self jaymember.Member `msgpack:"s"`
-	// ListEnd is the offset up to which the newest list of instances is complete that the sender knows
+	// ListEnd is the position up to which the newest list of instances is complete that the sender knows
 	// of, and Mesh the kind of mesh that follows from it. Instances of a former release report neither.
 	ListEnd jaystore.Position `msgpack:"l,omitempty"`
 	Mesh    meshKind          `msgpack:"m,omitempty"`
--- a/jay/jayroster/fetch.go
+++ b/jay/jayroster/fetch.go
@@ -47,7 +47,7 @@
 
 // errExpired returns the error that makes a follower read the records of all keys.
 func errExpired(from jaystore.Position) error {
-	return jayerror.Newf("fetch", jaystore.KindExpired, "removals since offset %d are not known to the other instance", from)
+	return jayerror.Newf("fetch", jaystore.KindExpired, "removals since offset %s are not known to the other instance", from)
 }
 
 // fetch requests records from the instance at an address.
--- a/jay/jayroster/mirrorserver.go
+++ b/jay/jayroster/mirrorserver.go
@@ -31,7 +31,7 @@
 	mirrorVersion = 2
 )
 
-// mirrorRequest asks for the records of a topic from an offset on.
+// mirrorRequest asks for the records of a topic from a position on.
 type mirrorRequest struct {
 	Version int               `msgpack:"v"`
 	Topic   jaystore.Topic    `msgpack:"t"`
@@ -51,12 +51,12 @@
 	Records []jaystore.Record `msgpack:"r"`
 	// Compressed holds the records if they are compressed.
 	Compressed []byte `msgpack:"z,omitempty"`
-	// Next is the offset after all that the instance has read, -1 before its first read and
+	// Next is the position after all that the instance has read, -1 before its first read and
 	// with Expired or Busy.
 	Next jaystore.Position `msgpack:"n"`
 	// Age is the time since the last answer of the store that the records reflect.
 	Age time.Duration `msgpack:"a,omitempty"`
-	// Expired is set if the instance may not know all removals since the offset: the receiver
+	// Expired is set if the instance may not know all removals since the position: the receiver
 	// has to request the records of all keys.
 	Expired bool `msgpack:"e,omitempty"`
 	// Busy is set if the instance already sends as many large replies as it may. Holders are
@@ -77,7 +77,7 @@
 	latest map[jaystore.Topic]compressedRecords
 }
 
-// compressedRecords are compressed records with a hash of their keys and offsets, which
+// compressedRecords are compressed records with a hash of their keys and positions, which
 // identifies them.
 type compressedRecords struct {
 	hash uint64
@@ -173,8 +173,8 @@
 	return data, nil
 }
 
-// hashRecords returns a hash of the keys and offsets of records. A tombstone of a snapshot has
-// the offset of its end, so several records may have the same one.
+// hashRecords returns a hash of the keys and positions of records. A tombstone of a snapshot has
+// the position of its end, so several records may have the same one.
 func hashRecords(records []jaystore.Record) uint64 {
 	digest := xxhash.New()
 	for _, r := range records {
--- a/jay/jayroster/polledreader.go
+++ b/jay/jayroster/polledreader.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"time"
-
 	"jayfield.example/jay/jaystore"
+	"time"
 )
 
 const (
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -119,7 +119,7 @@
 	return mirror, ok
 }
 
-// Positions returns the offset up to which each topic has been read.
+// Positions returns the position up to which each topic has been read.
 func (m *mirrors) Positions(now time.Time) map[string]jaymember.Mirror {
 	positions := make(map[string]jaymember.Mirror)
 	m.byTopic.Range(func(topic, value any) bool {
--- a/jay/jayroster/state.go
+++ b/jay/jayroster/state.go
@@ -7,16 +7,15 @@
 	"jayfield.example/jay/jayexpiry"
 	"jayfield.example/jay/jaylist"
 	"jayfield.example/jay/jaymember"
-	"jayfield.example/jay/jayusage"
-
 	"jayfield.example/jay/jaystore"
+	"jayfield.example/jay/jayusage"
 )
 
 // state is accessed only by the owner goroutine.
 type state struct {
 	view   *jaymember.View
 	listed map[string]jaylist.Instance
-	// listEnd is the offset up to which listed is complete, registeredAt that of the own entry or
+	// listEnd is the position up to which listed is complete, registeredAt that of the own entry or
 	// notRegistered, refusedEnd the listEnd of the latest removal that the store refused.
 	listEnd, registeredAt, refusedEnd jaystore.Position
 	expiry                            *jayexpiry.Table
@@ -53,7 +52,7 @@
 	unanswered map[string]time.Time
 }
 
-// listReport is the kind of mesh that follows from the store's list up to an offset.
+// listReport is the kind of mesh that follows from the store's list up to a position.
 type listReport struct {
 	end  jaystore.Position
 	mesh meshKind
@@ -107,7 +106,7 @@
 	sums sums
 }
 
-// notRegistered stands for the offset of an entry that does not exist.
+// notRegistered stands for the position of an entry that does not exist.
 const notRegistered = -1
 
 // sourceTTL is the time without a digest after which what a source has reported is dropped.
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -74,7 +74,7 @@
 	return t.mirror.Next()
 }
 
-// Newest returns the newest record of each key. Of a topic with a history, the offset at which to continue lies
+// Newest returns the newest record of each key. Of a topic with a history, the position at which to continue lies
 // before those of the newest records.
 func (t *TopicReader) Newest(ctx context.Context, topic jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	own, least := t.mirror.Next(), t.leastNext()
@@ -111,7 +111,7 @@
 	t.roster.log.Info("newest records read", "topic", t.topic, "source", source, "own", own, "next", next, "records", records)
 }
 
-// Read returns records from an offset on, from another instance of the zone as soon as one
+// Read returns records from a position on, from another instance of the zone as soon as one
 // has some, or from the store.
 func (t *TopicReader) Read(ctx context.Context, topic jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
 	if t.minInterval > 0 {
--- a/jay/jayroster/transfer.go
+++ b/jay/jayroster/transfer.go
@@ -1,10 +1,9 @@
 package jayroster
 
 import (
+	"jayfield.example/jay/jaystore"
 	"sync"
 	"time"
-
-	"jayfield.example/jay/jaystore"
 )
 
 const (
@@ -25,7 +24,7 @@
 	topic    jaystore.Topic
 }
 
-// holder is an instance that has received the records of a topic up to an offset.
+// holder is an instance that has received the records of a topic up to a position.
 type holder struct {
 	peer string
 	next jaystore.Position
@@ -74,7 +73,7 @@
 	}
 }
 
-// holdersOf returns the addresses of instances that have received a topic at least up to an offset.
+// holdersOf returns the addresses of instances that have received a topic at least up to a position.
 func (t *transfers) holdersOf(topic jaystore.Topic, next jaystore.Position) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/jay/jayroster/zonereader.go
+++ b/jay/jayroster/zonereader.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"time"
-
 	"jayfield.example/jay/jaystore"
+	"time"
 )
 
 const (
@@ -83,7 +82,7 @@
 	pollFailed pollResult = "failed"
 )
 
-// pollZone returns the records from an offset on that another instance of the zone has.
+// pollZone returns the records from a position on that another instance of the zone has.
 func (t *TopicReader) pollZone(ctx context.Context, from jaystore.Position, wait bool) ([]jaystore.Record, jaystore.Position, pollResult) {
 	p, ok := t.zonePosition()
 	switch {
--- a/jay/jaystore/era_test.go
+++ b/jay/jaystore/era_test.go
@@ -1,10 +1,9 @@
 package jaystore_test
 
 import (
+	"jayfield.example/jay/jaystore"
 	"slices"
 	"testing"
-
-	"jayfield.example/jay/jaystore"
 )
 
 // Guards against one response with an era that is too high, after which all others count as late.
--- a/jay/jaystore/follower.go
+++ b/jay/jaystore/follower.go
@@ -18,9 +18,9 @@
 
 // Consumer processes the records that a follower reads. Its methods are called one at a time.
 type Consumer interface {
-	// Replace processes a snapshot: the newest records of all keys, complete up to an offset.
+	// Replace processes a snapshot: the newest records of all keys, complete up to a position.
 	Replace(ctx context.Context, records []Record, end Position)
-	// Apply processes records in the order of their offsets.
+	// Apply processes records in the order of their positions.
 	Apply(ctx context.Context, records []Record)
 	// Unavailable and Available are called when the store becomes unavailable and available again.
 	Unavailable(ctx context.Context, err error)
--- a/jay/jaystore/log.go
+++ b/jay/jaystore/log.go
@@ -24,7 +24,7 @@
 const (
 	// KindUnavailable is transient; a write may have taken effect all the same.
 	KindUnavailable Kind = "unavailable"
-	// KindExpired means that the records at the offset are past the retention of the topic.
+	// KindExpired means that the records at the position are past the retention of the topic.
 	KindExpired Kind = "expired"
 	// KindConflict means that the condition of a write did not hold.
 	KindConflict Kind = "conflict"
@@ -54,9 +54,9 @@
 
 // Reader reads keyed topics.
 type Reader interface {
-	// Newest returns the newest record of each key and the offset at which to continue reading.
+	// Newest returns the newest record of each key and the position at which to continue reading.
 	Newest(ctx context.Context, topic Topic) (records []Record, end Position, err error)
-	// Read returns the records from an offset on and the offset after them. It blocks until there
+	// Read returns the records from a position on and the position after them. It blocks until there
 	// is a record, unless interrupt is nil. Closing interrupt ends the wait with KindInterrupted,
 	// but not a transfer of records that has begun. If the store is unavailable, Read may return,
 	// along with the error, records that another instance has read.
@@ -65,9 +65,9 @@
 
 // Writer writes records of keyed topics.
 type Writer interface {
-	// Put appends a record, which replaces the previous one of its key, and returns its offset.
-	Put(ctx context.Context, topic Topic, key string, value []byte) (offset Position, err error)
-	// PutAt is Put for a topic that ends at an offset: it fails with KindConflict, without an effect, if
+	// Put appends a record, which replaces the previous one of its key, and returns its position.
+	Put(ctx context.Context, topic Topic, key string, value []byte) (position Position, err error)
+	// PutAt is Put for a topic that ends at a position: it fails with KindConflict, without an effect, if
 	// the topic has other records. A call without an answer takes effect later only if that still holds.
 	PutAt(ctx context.Context, topic Topic, key string, value []byte, end Position) error
 }
--- a/jay/jaystore/mirror.go
+++ b/jay/jaystore/mirror.go
@@ -17,7 +17,7 @@
 	With(now time.Time, r Record) (next History, changed bool)
 	// Settled returns the history without records that serve only to recognise those that come late.
 	Settled() History
-	// Records returns the records in the order of their offsets.
+	// Records returns the records in the order of their positions.
 	Records() []Record
 	// Removed reports whether the key does not exist.
 	Removed() bool
@@ -35,10 +35,10 @@
 	// changedAt is when the histories changed that are to be settled after retention.
 	changedAt map[string]time.Time
 	retention time.Duration
-	// begin is the offset from which on the mirror knows all removals: a snapshot does not contain
+	// begin is the position from which on the mirror knows all removals: a snapshot does not contain
 	// those before its end.
 	begin Position
-	// next is the offset after all records that were read, changed the offset after the last
+	// next is the position after all records that were read, changed the position after the last
 	// record that was kept or the last snapshot.
 	next, changed Position
 	readAt        time.Time
@@ -48,7 +48,7 @@
 	pending *readMark
 }
 
-// readMark is the offset up to which a read was complete as of a point in time.
+// readMark is the position up to which a read was complete as of a point in time.
 type readMark struct {
 	at   time.Time
 	next Position
@@ -115,14 +115,14 @@
 	m.Consumer.Apply(ctx, records)
 }
 
-// MarkRead records that the mirror was complete up to an offset as of a point in time.
+// MarkRead records that the mirror was complete up to a position as of a point in time.
 func (m *Mirror) MarkRead(at time.Time, next Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance(at, next)
 }
 
-// MarkPending records that the mirror will be complete up to an offset, as of a point in time,
+// MarkPending records that the mirror will be complete up to a position, as of a point in time,
 // once the records of the read have been applied. Until then other instances that read the
 // mirror must not skip them.
 func (m *Mirror) MarkPending(at time.Time, next Position) {
@@ -146,24 +146,24 @@
 	}
 }
 
-// From returns the records of the histories from an offset on, in the order of their offsets, and the
-// offset after all records that were read. A negative offset selects the histories of all keys, without
+// From returns the records of the histories from a position on, in the order of their positions, and the
+// position after all records that were read. A negative position selects the histories of all keys, without
 // those of removed keys that are settled. The error is of KindExpired if the mirror may not know all
-// removals since the offset: the reader has to replace its copy by that of all keys.
-func (m *Mirror) From(offset Position) ([]Record, Position, error) {
+// removals since the position: the reader has to replace its copy by that of all keys.
+func (m *Mirror) From(from Position) ([]Record, Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if offset >= 0 && m.next >= 0 && offset < m.begin {
-		return nil, m.next, jayerror.Newf("mirror", KindExpired, "removals since offset %d are not known", offset)
+	if from >= 0 && m.next >= 0 && from < m.begin {
+		return nil, m.next, jayerror.Newf("mirror", KindExpired, "removals since offset %s are not known", from)
 	}
 	var records []Record
 	for _, h := range m.histories {
 		list := h.Records()
-		if offset < 0 && len(list) == 1 && h.Removed() {
+		if from < 0 && len(list) == 1 && h.Removed() {
 			continue
 		}
 		for _, r := range list {
-			if r.Position >= offset {
+			if r.Position >= from {
 				records = append(records, r)
 			}
 		}
@@ -172,14 +172,14 @@
 	return records, m.next, nil
 }
 
-// Next returns the offset after all records that were read, -1 before the first read.
+// Next returns the position after all records that were read, -1 before the first read.
 func (m *Mirror) Next() Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.next
 }
 
-// Position returns the offset after the last record that other instances need, -1
+// Position returns the position after the last record that other instances need, -1
 // before anything was read, and the time as of which the mirror is complete.
 func (m *Mirror) Position() (changed Position, readAt time.Time) {
 	m.mu.Lock()
@@ -197,7 +197,7 @@
 	}
 	now := time.Now()
 	for key, h := range m.histories {
-		if !present[key] && !h.Removed() && lastOffset(h) < end {
+		if !present[key] && !h.Removed() && lastPosition(h) < end {
 			// The tombstone is kept for instances that have read less of the topic.
 			m.add(now, Record{Key: key, Position: end - 1})
 		}
@@ -262,8 +262,8 @@
 	m.histories[key] = h
 }
 
-// lastOffset returns the offset of the last record of a history that has one.
-func lastOffset(h History) Position {
+// lastPosition returns the position of the last record of a history that has one.
+func lastPosition(h History) Position {
 	list := h.Records()
 	return list[len(list)-1].Position
 }
@@ -274,16 +274,16 @@
 	if m.tombstones <= m.maxTombstones {
 		return
 	}
-	offsets := make([]Position, 0, m.tombstones)
+	positions := make([]Position, 0, m.tombstones)
 	for _, h := range m.histories {
 		if h.Removed() {
-			offsets = append(offsets, lastOffset(h))
+			positions = append(positions, lastPosition(h))
 		}
 	}
-	slices.Sort(offsets)
-	last := offsets[len(offsets)/2]
+	slices.Sort(positions)
+	last := positions[len(positions)/2]
 	for key, h := range m.histories {
-		if h.Removed() && lastOffset(h) <= last {
+		if h.Removed() && lastPosition(h) <= last {
 			delete(m.histories, key)
 			delete(m.changedAt, key)
 			m.tombstones--
--- a/jay/jaystore/position_test.go
+++ b/jay/jaystore/position_test.go
@@ -4,9 +4,8 @@
 	"fmt"
 	"testing"
 
-	"pgregory.net/rapid"
-
 	"jayfield.example/jay/jaystore"
+	"pgregory.net/rapid"
 )
 
 func ExamplePosition() {
--- a/jay/jayusage/reporter.go
+++ b/jay/jayusage/reporter.go
@@ -1,11 +1,10 @@
 package jayusage
 
 import (
+	"jayfield.example/jay/jaystore"
 	"maps"
 	"slices"
 	"time"
-
-	"jayfield.example/jay/jaystore"
 )
 
 const (
