Keep versions in play as long as streams of routes without a timeout last

What callers saw: a stream of a route without a timeout went on at another version than the one that had begun it, if the former version left more than 10 s before.

Cause: setPolicy took a timeout of 0 as 0, so versions remained in play for the least window, 10 s. The relay gives such streams 30 s.

--- FAIL: TestWindowCoversRoutesWithoutTimeout (0.02s) version = "2", <nil>, 16 s after the begin of a stream of version 1

Both now use jaytraffic.Route.TimeLimit, so the window covers what the relay allows.

--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -263,7 +263,7 @@
 	var timeout time.Duration
 	for _, r := range policy.RouteList() {
 		if r.Kind == jaytraffic.KindStream {
-			timeout = max(timeout, r.Timeout)
+			timeout = max(timeout, r.TimeLimit())
 		}
 	}
 	s.mu.Lock()
--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -14,6 +14,7 @@
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jaystream"
+	"jayfield.example/jay/jaytraffic"
 )
 
 const streamService = "chat"
@@ -268,3 +269,31 @@
 		}
 	})
 }
+
+// Guards against streams of routes without a timeout, which may last for 30 s, that go on at the version that is left.
+func TestWindowCoversRoutesWithoutTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &streamLog{delay: 4 * time.Millisecond}
+		store.register("a", "1")
+		store.register("b", "2")
+		first, _ := store.start(ctx)
+		other, _ := store.start(ctx)
+		route := jaytraffic.Route{Name: "r", Kind: jaytraffic.KindStream, Resumable: true}
+		policy := jaytraffic.New(1, jaytraffic.Limits{}, []jaytraffic.Route{route}, []jaytraffic.Service{{Name: streamService}})
+		first.setPolicy(policy)
+		other.setPolicy(policy)
+		time.Sleep(20 * time.Second)
+		first.Began(streamService, "x", "1")
+		time.Sleep(time.Second)
+		// The upstream has reported that it leaves, goes on with its stream, and its entry is removed.
+		for _, instance := range []*streams{first, other} {
+			instance.setRegistered([]jayfleet.Upstream{{ID: "b", Service: streamService, Version: "2"}})
+		}
+		time.Sleep(15 * time.Second)
+		if got, err := other.Version(ctx, streamService, "x"); got != "1" {
+			t.Errorf("version = %q, %v, 16 s after the begin of a stream of version 1", got, err)
+		}
+	})
+}
--- a/jay/jayrelay/relay.go
+++ b/jay/jayrelay/relay.go
@@ -200,8 +200,6 @@
 }
 
 const (
-	// defaultTimeout applies if neither the route nor the caller sets a timeout.
-	defaultTimeout = 30 * time.Second
 	// noPolicyRetryAfter is the retry delay returned while the instance has no policy.
 	noPolicyRetryAfter = 500 * time.Millisecond
 	// writeMargin is the time after the request's deadline in which the caller may still
@@ -351,10 +349,7 @@
 
 // timeout returns the shorter of the route's timeout and the caller's.
 func (x *exchange) timeout() time.Duration {
-	timeout := defaultTimeout
-	if x.route.Timeout > 0 {
-		timeout = x.route.Timeout
-	}
+	timeout := x.route.TimeLimit()
 	if x.call.Timeout > 0 {
 		timeout = min(timeout, x.call.Timeout)
 	}
--- a/jay/jaytraffic/policy.go
+++ b/jay/jaytraffic/policy.go
@@ -54,7 +54,7 @@
 type Route struct {
 	Name, Host, Prefix string
 	Kind               Kind
-	// Timeout limits the time for a request, Target is the latency objective.
+	// Timeout limits the time for a request, 0 for DefaultTimeout. Target is the latency objective.
 	Timeout, Target time.Duration
 	// Gap is the objective for the longest pause between events of a stream.
 	Gap time.Duration
@@ -72,6 +72,17 @@
 	Split []SplitWeight
 }
 
+// DefaultTimeout limits the time for requests of routes without a timeout.
+const DefaultTimeout = 30 * time.Second
+
+// TimeLimit returns the longest time that a request may take.
+func (r Route) TimeLimit() time.Duration {
+	if r.Timeout > 0 {
+		return r.Timeout
+	}
+	return DefaultTimeout
+}
+
 // SplitWeight is the weight of one service in a traffic split.
 type SplitWeight struct {
 	Service string
