Doubt the registry after records that an instance has not read

What callers saw: a stream of a version that had come and gone went on at another version, by an instance that had been cut off for a while.

Cause: an instance that had run for longer than the window trusted that the registry had shown it all versions in play.

Evidence, a case of the review that failed before:

--- FAIL: TestVersionThatASnapshotSkipped (0.02s) version = "1", <nil>; want 2, as recorded

A read of the log that began before the gap does not complete that.

--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -227,6 +227,9 @@
 // Replace processes a snapshot of the registry.
 func (p *placer) Replace(ctx context.Context, records []jaystore.Record, end jaystore.Position) {
 	p.send(ctx, func(s *placerState) {
+		if p.streams != nil {
+			p.streams.skipped(end)
+		}
 		ids := make(map[string]bool, len(records))
 		for _, record := range records {
 			ids[record.Key] = len(record.Value) > 0
--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -258,6 +258,17 @@
 	s.registry = max(s.registry, next)
 }
 
+// skipped processes that the next records observed are a snapshot up to a position. It may lack versions that came and went
+// since the records before, unless these went as far.
+func (s *streams) skipped(end jaystore.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loaded && end > s.registry {
+		s.log.Warn("registry skipped; versions of streams are in doubt", "from", s.registry, "to", end)
+		s.table.Gap(time.Now())
+	}
+}
+
 // setPolicy sets the timeouts of streams.
 func (s *streams) setPolicy(policy *jaytraffic.Policy) {
 	var timeout time.Duration
@@ -279,7 +290,9 @@
 	for {
 		records, end, err := s.store.Read(ctx, jaystore.TopicUpstreams, next, nil)
 		if jayerror.Is(err, jaystore.KindExpired) {
-			records, end, err = s.store.Newest(ctx, jaystore.TopicUpstreams)
+			if records, end, err = s.store.Newest(ctx, jaystore.TopicUpstreams); err == nil {
+				s.skipped(end)
+			}
 		}
 		if err != nil {
 			return err //nolint:wrapcheck // The store's errors are those of jaystore.
@@ -301,6 +314,7 @@
 
 // readLog reads the records of the log that this instance has not read yet.
 func (s *streams) readLog(ctx context.Context) error {
+	began := time.Now()
 	for {
 		records, next, err := s.store.ReadLog(ctx, jaystore.TopicStreams, s.logNext)
 		if jayerror.Is(err, jaystore.KindExpired) && s.logNext != jaystore.NoPosition {
@@ -318,7 +332,7 @@
 		if s.logNext = next; size < fullPage {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.table.ReadAll()
+			s.table.ReadAll(began)
 			return nil
 		}
 	}
--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -297,3 +297,91 @@
 		}
 	})
 }
+
+// compactedLog is a store that keeps the newest records of the registry only.
+type compactedLog struct {
+	*streamLog
+
+	mu      sync.Mutex
+	removed map[string]bool
+	first   jaystore.Position
+	// failures is the number of reads of the log that fail next.
+	failures int
+}
+
+func (s *compactedLog) compact(removed ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removed, s.first = make(map[string]bool), jaystore.Position(len(s.registry))
+	for _, id := range removed {
+		s.removed[id] = true
+	}
+}
+
+func (s *compactedLog) Read(ctx context.Context, topic jaystore.Topic, from jaystore.Position, interrupt <-chan struct{}) ([]jaystore.Record, jaystore.Position, error) {
+	s.mu.Lock()
+	first := s.first
+	s.mu.Unlock()
+	if from < first {
+		return nil, 0, jayerror.New("read", jaystore.KindExpired, "compacted")
+	}
+	return s.streamLog.Read(ctx, topic, from, interrupt)
+}
+
+func (s *compactedLog) Newest(ctx context.Context, _ jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
+	if err := s.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var records []jaystore.Record
+	for _, r := range s.registry {
+		if !s.removed[r.Key] {
+			records = append(records, r)
+		}
+	}
+	return records, jaystore.Position(len(s.registry)), nil
+}
+
+func (s *compactedLog) ReadLog(ctx context.Context, topic jaystore.Topic, from jaystore.Position) ([][]byte, jaystore.Position, error) {
+	s.mu.Lock()
+	failed := s.failures > 0
+	if failed {
+		s.failures--
+	}
+	s.mu.Unlock()
+	if failed {
+		return nil, 0, jayerror.New("read", jaystore.KindUnavailable, "status 429")
+	}
+	return s.streamLog.ReadLog(ctx, topic, from)
+}
+
+func (s *compactedLog) start(ctx context.Context) *streams {
+	instance := newStreams(streamOptions{
+		adapter: jsonAdapter{}, store: s, instances: func() int { return 3 }, run: func(run func(context.Context)) { go run(ctx) },
+		series: jaymetric.NewExposition(), log: slog.New(slog.DiscardHandler),
+	})
+	s.load(instance)
+	go instance.Run(ctx)
+	return instance
+}
+
+// Guards against an instance that joins two versions since a snapshot of the registry skipped the entries of one.
+func TestVersionThatASnapshotSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &compactedLog{streamLog: &streamLog{delay: 4 * time.Millisecond}}
+		store.register("a", "1")
+		first, behind := store.start(ctx), store.start(ctx)
+		time.Sleep(time.Minute)
+		store.register("b", "2")
+		store.load(first)
+		first.Began(streamService, "x", "2")
+		time.Sleep(4 * time.Second)
+		store.compact("b")
+		if got, err := behind.Version(ctx, streamService, "x"); got != "2" {
+			t.Errorf("version = %q, %v; want 2, as recorded", got, err)
+		}
+	})
+}
--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -17,9 +17,9 @@
 // concurrent use.
 type Table struct {
 	window time.Duration
-	// loaded is when the registry was first read, zero before.
+	// loaded is since when the registry was read without a gap, zero before.
 	loaded time.Time
-	// complete is set once the log has been read up to its end.
+	// complete is set once the log has been read up to its end since then.
 	complete bool
 	services map[uint64]*service
 	// own are the streams that this instance began, unrecorded those of them that are not in the log.
@@ -35,8 +35,9 @@
 	// name is empty if only records of the log name the service.
 	name       string
 	registered map[string]bool
-	// seen holds when versions were last registered, recorded when those were read that only the log shows.
-	seen, recorded map[string]time.Time
+	// seen holds when versions were last registered, logged when they were last read from the log. Those of recorded are in play
+	// since they were read from the log.
+	seen, logged, recorded map[string]time.Time
 	// several is set if several versions were in play at the last tick, settled if the log is to state that only one is left.
 	several, settled bool
 }
@@ -97,6 +98,17 @@
 	}
 }
 
+// Gap processes that versions may have come and gone which the registry did not show to this instance. It trusts the registry
+// as little as one that has just started.
+func (t *Table) Gap(now time.Time) {
+	t.loaded, t.complete = now, false
+	for _, s := range t.services {
+		for version := range s.logged {
+			s.recorded[version] = now
+		}
+	}
+}
+
 // Versions returns the versions of a service that are in play, in the order of their names.
 func (t *Table) Versions(now time.Time, name string) []string {
 	return t.inPlay(now, serviceHash(name))
@@ -127,7 +139,9 @@
 func (t *Table) service(hash uint64) *service {
 	s, ok := t.services[hash]
 	if !ok {
-		s = &service{registered: make(map[string]bool), seen: make(map[string]time.Time), recorded: make(map[string]time.Time)}
+		s = &service{
+			registered: make(map[string]bool), seen: make(map[string]time.Time), logged: make(map[string]time.Time), recorded: make(map[string]time.Time),
+		}
 		t.services[hash] = s
 	}
 	return s
@@ -179,7 +193,7 @@
 	t.expireStreams(now)
 	var changes []Change
 	for hash, s := range t.services {
-		for _, times := range []map[string]time.Time{s.seen, s.recorded} {
+		for _, times := range []map[string]time.Time{s.seen, s.logged, s.recorded} {
 			maps.DeleteFunc(times, func(_ string, at time.Time) bool { return now.Sub(at) > t.window })
 		}
 		versions := t.inPlay(now, hash)
@@ -187,7 +201,7 @@
 			s.several, s.settled = several, len(versions) == 1
 			changes = append(changes, Change{Service: s.name, Versions: versions, Several: several})
 		}
-		if len(versions) == 0 {
+		if len(versions) == 0 && len(s.logged) == 0 {
 			delete(t.services, hash)
 		}
 	}
@@ -263,11 +277,14 @@
 	// The registry shows an instance that has run for longer than the window all versions in play.
 	young := !t.mature(now)
 	for _, g := range groups {
-		if young && len(g.Streams) == 0 {
-			clear(t.service(g.Service).recorded)
+		s := t.service(g.Service)
+		if len(g.Streams) == 0 {
+			clear(s.logged)
+			clear(s.recorded)
 		}
+		s.logged[g.Version] = now
 		if young {
-			t.service(g.Service).recorded[g.Version] = now
+			s.recorded[g.Version] = now
 		}
 		for _, key := range g.Streams {
 			t.remember(now, key, g)
@@ -284,8 +301,8 @@
 	t.order = append(t.order, key)
 }
 
-// ReadAll processes that the log was read up to its end.
-func (t *Table) ReadAll() { t.complete = true }
+// ReadAll processes that the log was read up to its end by a read that began at a time.
+func (t *Table) ReadAll(began time.Time) { t.complete = t.complete || !began.Before(t.loaded) }
 
 // Complete reports whether the log has been read up to its end, or need not be, since the registry shows all versions in play.
 func (t *Table) Complete(now time.Time) bool { return t.complete || t.mature(now) }
