Append streams of broken connections within the budget of all appends

What callers saw: nothing in small fleets. While callers' connections broke at a high rate, all instances together made more calls than the store allows (400 writes per second), which it refuses with 429, those of other topics too.

Cause: an append was made every fifth of the interval if a connection had broken, beside those of each interval, while the interval is what keeps all instances at about 100 calls per second.

Evidence, a case of the review that failed before:

--- FAIL: TestFleetDoesNotUseUpWrites 10_instances: 490 calls per second of all instances, want at most 400 100_instances: 548 calls per second of all instances, want at most 400 983_instances: 541 calls per second of all instances, want at most 400

All appends of an instance now take from one token bucket, one per interval and up to three at once. A single broken stream is recorded at once as before, and a storm of them is batched.

--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jayfleet"
 	"jayfield.example/jay/jaymetric"
@@ -22,8 +24,9 @@
 	streamPause = 100 * time.Millisecond
 	// streamRetry is the time between two reads of the log by an instance that has just started.
 	streamRetry = time.Second
-	// urgentParts is the number of parts of the time between two appends after which an urgent one is made.
-	urgentParts = 5
+	// appendBurst is the number of appends that an instance may make at once after a time with few of them, so that a stream is
+	// recorded as soon as its connection breaks.
+	appendBurst = 3
 	// fullPage is the size in bytes from which on the response to a read may lack records up to the end. It is below the
 	// size of a page by more than the size of a record.
 	fullPage = 512 << 10
@@ -154,10 +157,11 @@
 
 // Run records the streams of this instance until ctx ends.
 func (s *streams) Run(ctx context.Context) {
-	var readAt, appendedAt time.Time
-	tickAt := time.Now()
+	var readAt time.Time
+	tickAt, appends := time.Now(), rate.NewLimiter(rate.Every(jaystream.Interval(s.instances())), appendBurst)
 	for ctx.Err() == nil {
 		interval := jaystream.Interval(s.instances())
+		appends.SetLimit(rate.Every(interval))
 		select {
 		case <-time.After(time.Until(tickAt)):
 			tickAt = time.Now().Add(interval)
@@ -166,12 +170,12 @@
 				s.logReads.request()
 			}
 		case <-s.urgent:
-			waitUntil(ctx, appendedAt.Add(interval/urgentParts))
 		case <-ctx.Done():
 			return
 		}
-		if s.append(ctx) {
-			appendedAt = time.Now()
+		// The wait fails only if ctx ends. What becomes due meanwhile is part of the append.
+		if len(s.due()) > 0 && appends.Wait(ctx) == nil {
+			s.append(ctx)
 		}
 	}
 }
@@ -193,13 +197,18 @@
 	return s.loaded && !s.table.Complete(time.Now())
 }
 
-// append appends what is due, and reports whether it called the store.
-func (s *streams) append(ctx context.Context) bool {
+// due returns what is to be appended.
+func (s *streams) due() []jaystream.Group {
 	s.mu.Lock()
-	groups := s.table.Due(time.Now())
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.table.Due(time.Now())
+}
+
+// append appends what is due.
+func (s *streams) append(ctx context.Context) {
+	groups := s.due()
 	if len(groups) == 0 {
-		return false
+		return
 	}
 	record, err := jaystream.EncodeRecord(groups)
 	if err == nil {
@@ -215,14 +224,13 @@
 		}
 		s.failing = true
 		s.count("failed", count)
-		return true
+		return
 	}
 	s.failing = false
 	s.count("recorded", count)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Appended(groups)
-	return true
 }
 
 func (s *streams) count(result string, streams int) {
--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -385,3 +385,78 @@
 		}
 	})
 }
+
+// Guards against a fleet that uses up the calls of the store, of which the platform allows 400 writes per second, while
+// callers leave streams.
+func TestFleetDoesNotUseUpWrites(t *testing.T) {
+	const allowed = 400
+	for name, instances := range map[string]int{"8 instances": 8, "10 instances": 10, "100 instances": 100, "983 instances": 983} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &streamLog{delay: 2 * time.Millisecond}
+				store.register("a", "1")
+				store.register("b", "2")
+				one, _ := store.start(ctx)
+				one.instances = func() int { return instances }
+				time.Sleep(30 * time.Second)
+				before, began := store.total(), time.Now()
+				for n := range 10_000 {
+					store.load(one)
+					attempt := "attempt-" + time.Duration(n).String()
+					one.Began(streamService, attempt, "2")
+					one.Ended(streamService, attempt, false)
+					time.Sleep(4 * time.Millisecond)
+				}
+				perSecond := float64(store.total()-before) / time.Since(began).Seconds()
+				t.Logf("%.1f calls per second of one instance, %.0f of all", perSecond, perSecond*float64(instances))
+				if total := perSecond * float64(instances); total > allowed {
+					t.Errorf("%.0f calls per second of all instances, want at most %d", total, allowed)
+				}
+			})
+		})
+	}
+}
+
+// Guards against large fleets in which most streams are refused whose instance runs on and whose connections broke.
+func TestBrokenStreamsGoOnInLargeFleet(t *testing.T) {
+	for name, instances := range map[string]int{"8 instances": 8, "100 instances": 100, "300 instances": 300, "983 instances": 983} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &streamLog{delay: 4 * time.Millisecond}
+				store.register("a", "1")
+				store.register("b", "2")
+				first, _ := store.start(ctx)
+				first.instances = func() int { return instances }
+				other, _ := store.start(ctx)
+				time.Sleep(20 * time.Second)
+				const streams = 40
+				wentOn := 0
+				for n := range streams {
+					// All connections of the instance break now and then, as by resets.
+					store.load(first)
+					store.load(other)
+					attempt := string(rune('A' + n))
+					first.Began(streamService, attempt, "2")
+					time.Sleep(400 * time.Millisecond)
+					first.Ended(streamService, attempt, false)
+					// Callers try three times, as the responses say.
+					for range 3 {
+						if _, err := other.Version(ctx, streamService, attempt); err == nil {
+							wentOn++
+							break
+						}
+						time.Sleep(unknownRetryAfter)
+					}
+				}
+				t.Logf("%d of %d streams went on", wentOn, streams)
+				if wentOn < streams/2 {
+					t.Errorf("%d of %d streams went on, want at least half", wentOn, streams)
+				}
+			})
+		})
+	}
+}
