Begin shared reads a while apart

What callers saw: nothing, until the store refused calls with 429. An instance whose callers came back one after another read the registry or the log again as soon as the read before had ended.

Cause: a shared read serves those who asked before it began, and the next one began at once; only the store's answer time kept them apart.

Reads now begin 30 ms apart, or 5 ms for each instance, so that all instances together make about 200 per second of each topic; after a quiet time three may follow each other at once, so a look-up that comes alone is not delayed. Look-ups that come during the pause share the read. The time in which the store has to answer starts after the pause, so that a large fleet does not take its own pauses for a silent store and go on unconfirmed.

--- a/jay/jayedge/sharedread.go
+++ b/jay/jayedge/sharedread.go
@@ -6,18 +6,28 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 )
 
-// readTimeout limits a shared read, which may take several calls.
-const readTimeout = 5 * time.Second
+const (
+	// readTimeout limits a shared read, which may take several calls.
+	readTimeout = 5 * time.Second
+	// readBurst is the number of reads that may begin at once after a time with few of them.
+	readBurst = 3
+)
 
 // sharedRead runs reads of which each serves all that asked before it began. It is safe for concurrent use.
 type sharedRead struct {
 	read func(context.Context) error
-	run  func(func(context.Context))
+	// interval returns the time between the begins of reads that follow each other.
+	interval func() time.Duration
+	run      func(func(context.Context))
+	begins   *rate.Limiter
 
 	mu      sync.Mutex
 	running bool
+	// beginsAt is when the latest read may begin.
+	beginsAt time.Time
 	// next is the result of the read that begins after the one in progress, nil if nobody has asked for it.
 	next *readResult
 }
@@ -28,25 +38,39 @@
 	err  error
 }
 
-func newSharedRead(read func(context.Context) error, run func(func(context.Context))) *sharedRead {
-	return &sharedRead{read: read, run: run}
+func newSharedRead(read func(context.Context) error, interval func() time.Duration, run func(func(context.Context))) *sharedRead {
+	return &sharedRead{read: read, interval: interval, run: run, begins: rate.NewLimiter(rate.Every(interval()), readBurst)}
 }
 
-// wait waits for a read that begins after the call, for at most a time.
+// wait waits for a read that begins after the call, for at most a time. If the read begins later so that reads do not follow each
+// other too fast, the time counts from then on.
 func (r *sharedRead) wait(ctx context.Context, limit time.Duration) error {
 	result := r.request()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	select {
-	case <-result.done:
-		return result.err
-	case <-timer.C:
-		return errors.New("the read takes too long")
-	case <-ctx.Done():
-		return errors.WithStack(ctx.Err())
+	for {
+		select {
+		case <-result.done:
+			return result.err
+		case <-timer.C:
+			pause := r.pause()
+			if pause <= 0 {
+				return errors.New("the read takes too long")
+			}
+			timer.Reset(pause + limit)
+		case <-ctx.Done():
+			return errors.WithStack(ctx.Err())
+		}
 	}
 }
 
+// pause returns the time until the next read may begin.
+func (r *sharedRead) pause() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Until(r.beginsAt)
+}
+
 // request returns the result of a read that begins after the call.
 func (r *sharedRead) request() *readResult {
 	r.mu.Lock()
@@ -65,14 +89,20 @@
 // serve reads until nobody waits for another read.
 func (r *sharedRead) serve(ctx context.Context) {
 	for {
+		r.mu.Lock()
+		if r.running = r.next != nil; !r.running {
+			r.mu.Unlock()
+			return
+		}
+		r.begins.SetLimit(rate.Every(r.interval()))
+		r.beginsAt = time.Now().Add(r.begins.Reserve().Delay())
+		beginsAt := r.beginsAt
+		r.mu.Unlock()
+		waitUntil(ctx, beginsAt)
 		r.mu.Lock()
 		result := r.next
 		r.next = nil
-		r.running = result != nil
 		r.mu.Unlock()
-		if result == nil {
-			return
-		}
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		result.err = r.read(readCtx)
 		cancel()
--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -84,8 +84,9 @@
 		streamOptions: options, urgent: make(chan struct{}, 1),
 		table: jaystream.NewTable(), registry: jaystore.NoPosition, logNext: jaystore.NoPosition,
 	}
-	s.registryReads = newSharedRead(s.readRegistry, options.run)
-	s.logReads = newSharedRead(s.readLog, options.run)
+	interval := func() time.Duration { return jaystream.ReadInterval(options.instances()) }
+	s.registryReads = newSharedRead(s.readRegistry, interval, options.run)
+	s.logReads = newSharedRead(s.readLog, interval, options.run)
 	return s
 }
 
--- a/jay/jaystream/stream.go
+++ b/jay/jaystream/stream.go
@@ -48,6 +48,9 @@
 	minInterval = 100 * time.Millisecond
 	// fleetPause is by how much each instance makes that longer, so that all together make about a hundred calls per second.
 	fleetPause = 10 * time.Millisecond
+	// minReadInterval and fleetReadPause are the same for reads, of which all together make about two hundred calls per second.
+	minReadInterval = 30 * time.Millisecond
+	fleetReadPause  = 5 * time.Millisecond
 	// minWindow is the least time for which a version remains in play, maxWindow the greatest, unless streams may last longer.
 	minWindow = 10 * time.Second
 	maxWindow = time.Minute
@@ -58,6 +61,11 @@
 	return max(minInterval, time.Duration(instances)*fleetPause)
 }
 
+// ReadInterval returns the time between two reads of one topic by an instance in a fleet, for look-ups that follow each other.
+func ReadInterval(instances int) time.Duration {
+	return max(minReadInterval, time.Duration(instances)*fleetReadPause)
+}
+
 // Window returns for how long a version remains in play after it was last registered, by the longest timeout of a stream.
 func Window(timeout time.Duration) time.Duration {
 	return max(minWindow, min(2*timeout, maxWindow), timeout)
