Read the log again after a read that the store refused

What callers saw: 503 for a stream whose record was in the store, since one read was refused (429 or 503 of the store).

Cause: a look-up has three reads, but one that failed ended it.

Evidence, a case of the review that failed before:

--- FAIL: TestLookUpAfterOneRefusedRead (0.00s) version = "", version of stream: unknown: the store does not answer; want 2, as recorded

--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -116,6 +116,7 @@
 	answer := s.lookUp(service, attempt, p)
 	for ; answer.Step != jaystream.StepDone && ctx.Err() == nil; answer = s.lookUp(service, attempt, p) {
 		p = s.proceed(ctx, answer.Step, p)
+		p.Silent = p.Failed && time.Since(began) >= streamReadWait
 	}
 	if answer.Step != jaystream.StepDone {
 		answer.Result = resultGone
--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -345,8 +345,9 @@
 	Confirmed, Unconfirmed bool
 	// Reads is the number of reads of the log.
 	Reads int
-	// Failed is set if the store did not answer a read of the log.
-	Failed bool
+	// Failed is set if the newest read of the log failed, Silent if the store has had its time to answer too, so that no more
+	// reads are made.
+	Failed, Silent bool
 }
 
 // Answer is the state of a look-up.
@@ -371,7 +372,7 @@
 	if known && len(versions) == 1 {
 		return p.only(versions[0])
 	}
-	if p.Failed || p.Reads >= maxReads || known && attempt == "" {
+	if p.Silent || p.Reads >= maxReads || known && attempt == "" {
 		return unknown
 	}
 	return Answer{Step: StepRead}
