Remember a stream for a window after its latest record

What callers saw: 503 for a stream that had been recorded again by the instance that served it on, once the first record was older than the window.

Cause: the time of a stream of the log was that of the first record read.

A record that is read again renews the time. The queue of what expires has an entry for each reading, and those that are out of date are skipped, and removed when the queue is twice as long as what may be remembered.

--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -511,3 +511,25 @@
 		}
 	})
 }
+
+// Guards against a stream that is refused since the former record of it has expired, though it was recorded again since.
+func TestStreamThatWasRecordedAgain(t *testing.T) {
+	table, now := jaystream.NewTable(), time.Unix(1000, 0)
+	set := func() { table.SetRegistered(now, map[string][]string{streamService: {"1", "2"}}) }
+	set()
+	other := jaystream.NewTable()
+	other.SetRegistered(now, map[string][]string{streamService: {"1", "2"}})
+	other.Begin(now, streamService, "x", "2")
+	groups := other.Due(now)
+	table.Read(now, groups)
+	now = now.Add(9 * time.Second)
+	set()
+	table.Read(now, groups)
+	now = now.Add(2 * time.Second)
+	set()
+	table.Tick(now)
+	want := jaystream.Answer{Step: jaystream.StepDone, Result: jaystream.ResultRecorded, Version: "2"}
+	if got := table.LookUp(now, streamService, "x", jaystream.Progress{Reads: 3}); got != want {
+		t.Errorf("2 s after its latest record: %+v, want %+v", got, want)
+	}
+}
--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -24,12 +24,18 @@
 	services map[uint64]*service
 	// own are the streams that this instance began, unrecorded those of them that are not in the log.
 	own, unrecorded map[Key]*stream
-	// read are the streams of the log, and order their keys, the oldest first.
+	// read are the streams of the log, and order the readings of their records, the oldest first.
 	read    map[Key]*stream
-	order   []Key
+	order   []reading
 	dropped int
 }
 
+// reading is when a record of a stream was read.
+type reading struct {
+	key Key
+	at  time.Time
+}
+
 // service is what is known of the versions of a service.
 type service struct {
 	// name is empty if only records of the log name the service.
@@ -218,12 +224,22 @@
 		}
 		t.forget(key)
 	}
-	for len(t.order) > 0 && (len(t.order) > maxRemembered || now.Sub(t.read[t.order[0]].at) > t.window) {
-		delete(t.read, t.order[0])
+	t.expireRead(now)
+}
+
+// expireRead drops the oldest streams of the log.
+func (t *Table) expireRead(now time.Time) {
+	for len(t.order) > 0 && (len(t.read) > maxRemembered || now.Sub(t.order[0].at) > t.window) {
+		if !t.isOutdated(t.order[0]) {
+			delete(t.read, t.order[0].key)
+		}
 		t.order = t.order[1:]
 	}
 }
 
+// isOutdated reports whether a record of the stream has been read again since.
+func (t *Table) isOutdated(r reading) bool { return t.read[r.key].at.After(r.at) }
+
 // Rewind processes that the store came back from a copy, which may lack records of this instance.
 func (t *Table) Rewind() { maps.Copy(t.unrecorded, t.own) }
 
@@ -295,10 +311,17 @@
 func (t *Table) remember(now time.Time, key Key, g Group) {
 	if s, ok := t.read[key]; ok {
 		s.ambiguous = s.ambiguous || s.version != g.Version
-		return
+		if !s.at.Before(now) {
+			return
+		}
+		s.at = now
+	} else {
+		t.read[key] = &stream{service: g.Service, version: g.Version, at: now}
+	}
+	if t.order = append(t.order, reading{key, now}); len(t.order) > 2*maxRemembered {
+		t.expireRead(now)
+		t.order = slices.DeleteFunc(t.order, t.isOutdated)
 	}
-	t.read[key] = &stream{service: g.Service, version: g.Version, at: now}
-	t.order = append(t.order, key)
 }
 
 // ReadAll processes that the log was read up to its end by a read that began at a time.
