Log a short part of the attempt that a caller names

What callers saw: nothing; one request could write 262 KB into the log of an instance.

Cause: a look-up logged the attempt as the caller had sent it.

Evidence, a case of the review that failed before:

--- FAIL: TestLookUpLogsShortAttempt (0.00s) 262283 bytes were logged for one look-up

The first 64 bytes are logged.

--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -24,6 +24,8 @@
 	streamPause = 100 * time.Millisecond
 	// streamRetry is the time between two reads of the log by an instance that has just started.
 	streamRetry = time.Second
+	// maxLoggedAttempt is the number of bytes of the ID of an attempt that are logged. Callers choose its length.
+	maxLoggedAttempt = 64
 	// appendBurst is the number of appends that an instance may make at once after a time with few of them, so that a stream is
 	// recorded as soon as its connection breaks.
 	appendBurst = 3
@@ -123,7 +125,7 @@
 	}
 	s.series.Count("stream_lookups_total", jaymetric.Label{Name: "result", Value: string(answer.Result)})
 	if answer.Result != jaystream.ResultOwn {
-		s.log.Info("stream looked up", "service", service, "attempt", attempt, "result", answer.Result, "version", answer.Version,
+		s.log.Info("stream looked up", "service", service, "attempt", attempt[:min(len(attempt), maxLoggedAttempt)], "result", answer.Result, "version", answer.Version,
 			"reads", p.Reads, "failed", p.Failed, "took", time.Since(began))
 	}
 	switch {
--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -545,3 +545,28 @@
 		t.Errorf("at the instance that sent its end: %+v, want %+v", got, want)
 	}
 }
+
+// Guards against a log line whose size a caller chooses.
+func TestLookUpLogsShortAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &streamLog{}
+		store.register("a", "1")
+		instance, _ := store.start(ctx)
+		var written countingWriter
+		instance.log = slog.New(slog.NewTextHandler(&written, nil))
+		_, _ = instance.Version(ctx, streamService, string(make([]byte, 64<<10))) // Only the log counts.
+		if written > 4<<10 {
+			t.Errorf("%d bytes were logged for one look-up", written)
+		}
+	})
+}
+
+// countingWriter counts the bytes that are written.
+type countingWriter int
+
+func (w *countingWriter) Write(data []byte) (int, error) {
+	*w += countingWriter(len(data))
+	return len(data), nil
+}
--- a/jay/jayedge/streamsreview_test.go
+++ b/jay/jayedge/streamsreview_test.go
@@ -1,40 +1,12 @@
 package jayedge
 
 import (
-	"context"
-	"log/slog"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"jayfield.example/jay/jaystream"
 )
 
-// Guards against a log line whose size a caller chooses.
-func TestLookUpLogsShortAttempt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		store := &streamLog{}
-		store.register("a", "1")
-		instance, _ := store.start(ctx)
-		var written countingWriter
-		instance.log = slog.New(slog.NewTextHandler(&written, nil))
-		_, _ = instance.Version(ctx, streamService, string(make([]byte, 64<<10))) // Only the log counts.
-		if written > 4<<10 {
-			t.Errorf("%d bytes were logged for one look-up", written)
-		}
-	})
-}
-
-// countingWriter counts the bytes that are written.
-type countingWriter int
-
-func (w *countingWriter) Write(data []byte) (int, error) {
-	*w += countingWriter(len(data))
-	return len(data), nil
-}
-
 // Guards against an instance that joins two versions since another one, which did not know of a new version yet, recorded that
 // one was left.
 func TestRecordThatOneVersionIsLeftMayBeOutOfDate(t *testing.T) {
