Record which version has left, not that one is left

What callers saw: a stream went on at another version than its own, at an instance that started after a kill of all, if a third version had just begun streams which an older record hid.

Cause: an instance that saw one version left recorded just that, and who read it dropped all others that the log had shown, also those that the writer had not read of yet.

Evidence, a case of the review that failed before:

--- FAIL: TestRecordThatOneVersionIsLeftMayBeOutOfDate (0.00s) answer = {Step:done Result:only Version:2} for a stream that version 3 may have begun, want it to be unknown

The record now names the version that is no longer in play and ends it only, so it says nothing of what the writer does not know. It is appended after a read of the registry up to its end, so that a version that came back is not recorded (TestReturnOfVersionIsReadBeforeItIsRecordedAsLeft). The format is the same.

--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -210,7 +211,7 @@
 
 // append appends what is due.
 func (s *streams) append(ctx context.Context) {
-	groups := s.due()
+	groups := s.confirm(ctx, s.due())
 	if len(groups) == 0 {
 		return
 	}
@@ -237,6 +238,19 @@
 	s.table.Appended(groups)
 }
 
+// confirm reads the registry if groups state that a version is no longer in play, since it may have come back. They wait for the
+// next append if the registry cannot be read.
+func (s *streams) confirm(ctx context.Context, groups []jaystream.Group) []jaystream.Group {
+	left := func(g jaystream.Group) bool { return len(g.Streams) == 0 }
+	if !slices.ContainsFunc(groups, left) {
+		return groups
+	}
+	if s.registryReads.wait(ctx, streamReadWait) != nil {
+		return slices.DeleteFunc(groups, left)
+	}
+	return s.due()
+}
+
 func (s *streams) count(result string, streams int) {
 	s.series.Add("stream_records_total", streams, jaymetric.Label{Name: "result", Value: result})
 }
--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -570,3 +570,63 @@
 	*w += countingWriter(len(data))
 	return len(data), nil
 }
+
+// Guards against an instance that joins two versions since another one, which did not know of a new version yet, recorded that
+// one was left.
+func TestRecordThatOneVersionIsLeftMayBeOutOfDate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	registered := func(table *jaystream.Table, versions ...string) {
+		table.SetRegistered(now, map[string][]string{streamService: versions})
+	}
+	late, first := jaystream.NewTable(), jaystream.NewTable()
+	registered(late, "1", "2")
+	late.Tick(now)
+	registered(late, "2")
+	now = now.Add(jaystream.Window(0) + 1)
+	// Version 3 has come, which the late instance has not read. Stream y is not recorded yet when all are killed.
+	registered(first, "2", "3")
+	first.Begin(now, streamService, "x", "3")
+	recorded := first.Due(now)
+	late.Tick(now)
+	settled := late.Due(now)
+	// The upstreams of version 3 have ended, and the registry no longer shows them.
+	started := jaystream.NewTable()
+	registered(started, "2")
+	started.Read(now, recorded)
+	started.Read(now, settled)
+	started.ReadAll(now)
+	got := started.LookUp(now, streamService, "y", jaystream.Progress{Confirmed: true, Reads: 3})
+	if got.Result != jaystream.ResultUnknown {
+		t.Errorf("answer = %+v for a stream that version 3 may have begun, want it to be unknown", got)
+	}
+}
+
+// Guards against a record that a version is no longer in play by an instance that has not read its return.
+func TestReturnOfVersionIsReadBeforeItIsRecordedAsLeft(t *testing.T) {
+	for name, returns := range map[string]bool{"returned": true, "left": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &streamLog{delay: 4 * time.Millisecond}
+				store.register("a", "1")
+				store.register("b", "2")
+				instance, _ := store.start(ctx)
+				instance.setRegistered([]jayfleet.Upstream{{ID: "b", Service: streamService, Version: "2"}})
+				time.Sleep(jaystream.Window(0) - time.Second)
+				if returns {
+					store.register("c", "1")
+				}
+				time.Sleep(2 * time.Second)
+				recorded := false
+				for _, record := range store.log {
+					groups, err := jaystream.DecodeRecord(record)
+					recorded = recorded || err == nil && len(groups[0].Streams) == 0 && groups[0].Version == "1"
+				}
+				if recorded == returns {
+					t.Errorf("recorded as left = %v, want %v", recorded, !returns)
+				}
+			})
+		})
+	}
+}
--- a/jay/jaystream/record.go
+++ b/jay/jaystream/record.go
@@ -16,7 +16,7 @@
 	// Service is the hash of the name.
 	Service uint64
 	Version string
-	// Streams are the keys of streams that the version began. If there are none, the version is the only one in play from here on.
+	// Streams are the keys of streams that the version began. If there are none, the version is no longer in play.
 	Streams []Key
 }
 
--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -44,8 +44,10 @@
 	// seen holds when versions were last registered, logged when they were last read from the log. Those of recorded are in play
 	// since they were read from the log.
 	seen, logged, recorded map[string]time.Time
-	// several is set if several versions were in play at the last tick, settled if the log is to state that only one is left.
-	several, settled bool
+	// inPlay are the versions that were in play at the last tick, left those of several of which the log is to state that they
+	// are no longer in play.
+	inPlay []string
+	left   map[string]bool
 }
 
 // stream is a stream that began.
@@ -146,7 +148,8 @@
 	s, ok := t.services[hash]
 	if !ok {
 		s = &service{
-			registered: make(map[string]bool), seen: make(map[string]time.Time), logged: make(map[string]time.Time), recorded: make(map[string]time.Time),
+			registered: make(map[string]bool), left: make(map[string]bool),
+			seen: make(map[string]time.Time), logged: make(map[string]time.Time), recorded: make(map[string]time.Time),
 		}
 		t.services[hash] = s
 	}
@@ -203,8 +206,12 @@
 			maps.DeleteFunc(times, func(_ string, at time.Time) bool { return now.Sub(at) > t.window })
 		}
 		versions := t.inPlay(now, hash)
-		if several := len(versions) > 1; several != s.several {
-			s.several, s.settled = several, len(versions) == 1
+		before, several := len(s.inPlay) > 1, len(versions) > 1
+		for _, version := range s.inPlay {
+			s.left[version] = before
+		}
+		maps.DeleteFunc(s.left, func(version string, left bool) bool { return !left || slices.Contains(versions, version) })
+		if s.inPlay = versions; several != before {
 			changes = append(changes, Change{Service: s.name, Versions: versions, Several: several})
 		}
 		if len(versions) == 0 && len(s.logged) == 0 {
@@ -247,7 +254,8 @@
 // which there were too many.
 func (t *Table) Dropped() int { return t.dropped }
 
-// Due returns what is to be appended to the log, nil if there is nothing.
+// Due returns what is to be appended to the log, nil if there is nothing. The caller reads the registry up to its end before it
+// appends that a version is no longer in play, and calls Due again.
 func (t *Table) Due(now time.Time) []Group {
 	type kind struct {
 		service uint64
@@ -269,8 +277,11 @@
 		groups = append(groups, Group{Service: k.service, Version: k.version, Streams: keys})
 	}
 	for hash, s := range t.services {
-		if versions := t.inPlay(now, hash); s.settled && len(versions) == 1 {
-			groups = append(groups, Group{Service: hash, Version: versions[0]})
+		versions := t.inPlay(now, hash)
+		for version := range s.left {
+			if !slices.Contains(versions, version) {
+				groups = append(groups, Group{Service: hash, Version: version})
+			}
 		}
 	}
 	return groups
@@ -283,7 +294,7 @@
 			delete(t.unrecorded, key)
 		}
 		if s, ok := t.services[g.Service]; ok && len(g.Streams) == 0 {
-			s.settled = false
+			delete(s.left, g.Version)
 		}
 	}
 }
@@ -295,8 +306,9 @@
 	for _, g := range groups {
 		s := t.service(g.Service)
 		if len(g.Streams) == 0 {
-			clear(s.logged)
-			clear(s.recorded)
+			delete(s.logged, g.Version)
+			delete(s.recorded, g.Version)
+			continue
 		}
 		s.logged[g.Version] = now
 		if young {
