Refuse streams of services without upstreams at once

What callers saw: 503 after some 200 ms for a stream of a service of which no upstream had been registered for longer than the window.

Cause: the log was read three times, as for a stream that it does not show yet, though no version is left at which the stream could go on.

The case that failed before:

--- FAIL: TestLookUp/no_version answer = {Step:read Result: Version:}, want {Step:done Result:unknown Version:}

It is refused without a call to the store.

--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -407,7 +407,7 @@
 	if known && len(versions) == 1 {
 		return p.only(versions[0])
 	}
-	if p.Silent || p.Reads >= maxReads || known && attempt == "" {
+	if p.Silent || p.Reads >= maxReads || known && (attempt == "" || len(versions) == 0) {
 		return unknown
 	}
 	return Answer{Step: StepRead}
--- a/jay/jaystream/table_test.go
+++ b/jay/jaystream/table_test.go
@@ -363,6 +363,9 @@
 		"one version, confirmed":               {only, later, "", jaystream.Progress{Confirmed: true}, done(jaystream.ResultOnly, "a")},
 		"one version, no reply":                {only, later, "x", jaystream.Progress{Confirmed: true, Unconfirmed: true}, done(jaystream.ResultUnconfirmed, "a")},
 		"several versions":                     {several, later, "x", jaystream.Progress{Confirmed: true}, read},
+		"no version": {func(t *jaystream.Table) {
+			t.SetRegistered(now, map[string][]string{"other": {"a"}})
+		}, later, "x", jaystream.Progress{}, unknown},
 		"several versions, no attempt":         {several, later, "", jaystream.Progress{}, unknown},
 		"several versions, not in the log":     {several, later, "x", jaystream.Progress{Reads: 3}, unknown},
 		"several versions, read refused":       {several, later, "x", jaystream.Progress{Reads: 1, Failed: true}, read},
