--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -131,13 +131,13 @@
 	}
 	switch {
 	case answer.Result == resultGone:
-		return "", jaystream.ErrUnknown("the caller has gone", unknownRetryAfter) //nolint:wrapcheck // An error of jaystream.
+		return "", jaystream.NewUnknown("the caller has gone", unknownRetryAfter) //nolint:wrapcheck // An error of jaystream.
 	case answer.Result != jaystream.ResultUnknown:
 		return answer.Version, nil
 	case p.Failed:
-		return "", jaystream.ErrUnknown("the store does not answer", unansweredRetryAfter) //nolint:wrapcheck // An error of jaystream.
+		return "", jaystream.NewUnknown("the store does not answer", unansweredRetryAfter) //nolint:wrapcheck // An error of jaystream.
 	}
-	return "", jaystream.ErrUnknown("no record of the stream, and several versions were in play", unknownRetryAfter) //nolint:wrapcheck // As above.
+	return "", jaystream.NewUnknown("no record of the stream, and several versions were in play", unknownRetryAfter) //nolint:wrapcheck // As above.
 }
 
 func (s *streams) lookUp(service, attempt string, p jaystream.Progress) jaystream.Answer {
--- a/jay/jaystream/stream.go
+++ b/jay/jaystream/stream.go
@@ -38,8 +38,8 @@
 // RetryAfter returns the time after which the caller may try again.
 func (e *unknownError) RetryAfter() time.Duration { return e.retryAfter }
 
-// ErrUnknown returns an error of KindUnknown whose cause states when the caller may try again.
-func ErrUnknown(reason string, retryAfter time.Duration) error {
+// NewUnknown returns an error of KindUnknown whose cause states when the caller may try again.
+func NewUnknown(reason string, retryAfter time.Duration) error {
 	return jayerror.Wrap("version of stream", KindUnknown, error(&unknownError{reason, retryAfter}))
 }
 
