State why the version of a stream is unknown

What callers and operators saw: "no record of the stream, and several versions were in play" for every refusal while the store answered, also if no version was in play, the attempt was missing or ambiguous, or the instance was young. There was no test of the reason.

Table.Doubt tells these cases apart (TestDoubt).

--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -137,7 +137,14 @@
 	case p.Failed:
 		return "", jaystream.NewUnknown("the store does not answer", unansweredRetryAfter) //nolint:wrapcheck // An error of jaystream.
 	}
-	return "", jaystream.NewUnknown("no record of the stream, and several versions were in play", unknownRetryAfter) //nolint:wrapcheck // As above.
+	return "", jaystream.NewUnknown(s.doubt(service, attempt), unknownRetryAfter) //nolint:wrapcheck // As above.
+}
+
+// doubt returns why a look-up did not find the version of a stream.
+func (s *streams) doubt(service, attempt string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Doubt(time.Now(), service, attempt)
 }
 
 func (s *streams) lookUp(service, attempt string, p jaystream.Progress) jaystream.Answer {
--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -413,6 +413,23 @@
 	return Answer{Step: StepRead}
 }
 
+// Doubt returns why the version that began a stream is unknown after a look-up.
+func (t *Table) Doubt(now time.Time, name, attempt string) string {
+	s, _ := t.find(name, attempt)
+	versions := t.Versions(now, name)
+	switch {
+	case s != nil && s.ambiguous:
+		return "several versions began streams under the attempt"
+	case t.loaded.IsZero() || !t.Complete(now):
+		return "the instance does not know yet which versions were in play"
+	case len(versions) == 0:
+		return "no version is in play"
+	case attempt == "":
+		return "the attempt is not named, and several versions were in play"
+	}
+	return "no record of the stream, and several versions were in play"
+}
+
 // only returns the answer if one version only is in play.
 func (p Progress) only(version string) Answer {
 	switch {
--- a/jay/jaystream/table_test.go
+++ b/jay/jaystream/table_test.go
@@ -409,6 +409,43 @@
 	}
 }
 
+func TestDoubt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	load := func(versions ...string) func(*jaystream.Table) {
+		return func(t *jaystream.Table) {
+			t.SetRegistered(now, map[string][]string{service: versions})
+			t.ReadAll(now)
+		}
+	}
+	tests := map[string]struct {
+		prepare       func(*jaystream.Table)
+		attempt, want string
+	}{
+		"registry not read": {func(*jaystream.Table) {}, "x", "the instance does not know yet which versions were in play"},
+		"registry skipped": {func(t *jaystream.Table) {
+			load("a", "b")(t)
+			t.Gap(now.Add(1))
+		}, "x", "the instance does not know yet which versions were in play"},
+		"no version": {load(), "x", "no version is in play"},
+		"no attempt": {load("a", "b"), "", "the attempt is not named, and several versions were in play"},
+		"no record":  {load("a", "b"), "x", "no record of the stream, and several versions were in play"},
+		"ambiguous": {func(t *jaystream.Table) {
+			load("a", "b")(t)
+			t.Begin(now, service, "x", "a")
+			t.Begin(now, service, "x", "b")
+		}, "x", "several versions began streams under the attempt"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := jaystream.NewTable()
+			test.prepare(table)
+			if got := table.Doubt(now.Add(time.Second), service, test.attempt); got != test.want {
+				t.Errorf("doubt = %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against instances that start after a release and refuse streams, since the log shows the former version.
 func TestLogStatesThatVersionHasLeft(t *testing.T) {
 	table, now := jaystream.NewTable(), time.Unix(1000, 0)
