Read the registry again after a read that the store refused

What callers saw: a stream could go on at another version than its own while the store answered, if one read was refused (429 or 503 of the store).

Cause: before a stream goes on at the only version in play, the registry is read up to its end. One read that failed counted as a store that does not answer, for which the stream goes on at the version that is known.

The case that failed before:

--- FAIL: TestConfirmationAfterOneRefusedRead (0.00s) version = "1", <nil>; want 2, as recorded

The read is now made up to three times within the 600 ms that a look-up waits for the store as before.

--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -23,6 +23,8 @@
 	streamReadWait = 600 * time.Millisecond
 	// streamPause is the time between two reads of the log for one look-up, in which another instance may write the record.
 	streamPause = 100 * time.Millisecond
+	// registryReads is how often the registry is read for one look-up.
+	registryReads = 3
 	// streamRetry is the time between two reads of the log by an instance that has just started.
 	streamRetry = time.Second
 	// maxLoggedAttempt is the number of bytes of the ID of an attempt that are logged. Callers choose its length.
@@ -156,7 +158,7 @@
 // proceed carries out a step of a look-up.
 func (s *streams) proceed(ctx context.Context, step jaystream.Step, p jaystream.Progress) jaystream.Progress {
 	if step == jaystream.StepConfirm {
-		p.Confirmed, p.Unconfirmed = true, s.registryReads.wait(ctx, streamReadWait) != nil
+		p.Confirmed, p.Unconfirmed = true, !s.registryRead(ctx, streamReadWait)
 		return p
 	}
 	if p.Reads > 0 {
@@ -167,6 +169,22 @@
 	return p
 }
 
+// registryRead reads the registry up to its end, for at most a time, and reports whether the store answered. A read that the store
+// refuses is repeated.
+func (s *streams) registryRead(ctx context.Context, limit time.Duration) bool {
+	deadline := time.Now().Add(limit)
+	for range registryReads {
+		if s.registryReads.wait(ctx, time.Until(deadline)) == nil {
+			return true
+		}
+		waitUntil(ctx, time.Now().Add(min(streamPause, time.Until(deadline))))
+		if ctx.Err() != nil || !time.Now().Before(deadline) {
+			return false
+		}
+	}
+	return false
+}
+
 // Run records the streams of this instance until ctx ends.
 func (s *streams) Run(ctx context.Context) {
 	var readAt time.Time
@@ -252,7 +270,7 @@
 	if !slices.ContainsFunc(groups, left) {
 		return groups
 	}
-	if s.registryReads.wait(ctx, streamReadWait) != nil {
+	if !s.registryRead(ctx, streamReadWait) {
 		return slices.DeleteFunc(groups, left)
 	}
 	return s.due()
--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -305,7 +305,7 @@
 	mu      sync.Mutex
 	removed map[string]bool
 	first   jaystore.Position
-	// failures is the number of reads of the log that fail next.
+	// failures is the number of reads that fail next.
 	failures int
 }
 
@@ -322,12 +322,26 @@
 	s.mu.Lock()
 	first := s.first
 	s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return nil, 0, err
+	}
 	if from < first {
 		return nil, 0, jayerror.New("read", jaystore.KindExpired, "compacted")
 	}
 	return s.streamLog.Read(ctx, topic, from, interrupt)
 }
 
+// refuse returns the error of a read that fails.
+func (s *compactedLog) refuse() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failures == 0 {
+		return nil
+	}
+	s.failures--
+	return jayerror.New("read", jaystore.KindUnavailable, "status 429")
+}
+
 func (s *compactedLog) Newest(ctx context.Context, _ jaystore.Topic) ([]jaystore.Record, jaystore.Position, error) {
 	if err := s.call(ctx); err != nil {
 		return nil, 0, err
@@ -344,14 +358,8 @@
 }
 
 func (s *compactedLog) ReadLog(ctx context.Context, topic jaystore.Topic, from jaystore.Position) ([][]byte, jaystore.Position, error) {
-	s.mu.Lock()
-	failed := s.failures > 0
-	if failed {
-		s.failures--
-	}
-	s.mu.Unlock()
-	if failed {
-		return nil, 0, jayerror.New("read", jaystore.KindUnavailable, "status 429")
+	if err := s.refuse(); err != nil {
+		return nil, 0, err
 	}
 	return s.streamLog.ReadLog(ctx, topic, from)
 }
@@ -630,3 +638,25 @@
 		})
 	}
 }
+
+// Guards against an instance that joins two versions since one read of the registry was refused.
+func TestConfirmationAfterOneRefusedRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &compactedLog{streamLog: &streamLog{delay: 4 * time.Millisecond}}
+		store.register("a", "1")
+		first, behind := store.start(ctx), store.start(ctx)
+		time.Sleep(time.Minute)
+		store.register("b", "2")
+		store.load(first)
+		first.Began(streamService, "x", "2")
+		time.Sleep(time.Second)
+		store.mu.Lock()
+		store.failures = 1
+		store.mu.Unlock()
+		if got, err := behind.Version(ctx, streamService, "x"); got != "2" {
+			t.Errorf("version = %q, %v; want 2, as recorded", got, err)
+		}
+	})
+}
