Wait less for a store that is known to be away

What callers saw: while the store was away and one version was in play, each stream that they took up again waited 600 ms before it went on.

Cause: the look-up waited for the store although the other calls of the instance had shown for seconds that it does not answer.

The case that failed before:

TestVersionOfStream/one_version,_no_answer_for_a_while took 600ms, want at most 100ms

While the contact with the store is known to fail, the look-up waits 100 ms. It does not skip the read: a store that has just come back answers within that time, before the next call of the instance shows it ("one version, store is back"). One that comes back slow counts as away until its first answer.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -140,7 +140,9 @@
 	e.contact = newContact()
 	store := Store(observedStore{Store: adapter.Store(settings.Store, polls, e.series), contact: e.contact})
 	e.streams = newStreams(streamOptions{
-		adapter: adapter, store: store, instances: func() int { return len(*e.members.Load()) + 1 }, run: e.group.Go, series: e.series, log: log,
+		adapter: adapter, store: store, instances: func() int { return len(*e.members.Load()) + 1 },
+		storeFails: func() bool { return e.contact.State() == jaymember.ContactFails },
+		run:        e.group.Go, series: e.series, log: log,
 	})
 	e.placer.streams = e.streams
 	if settings.Provider.hasDuties() {
--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -21,6 +21,8 @@
 	// streamReadWait is how long a look-up waits for a read. A slow store answers in 240 ms, and a read that has begun
 	// before is waited for.
 	streamReadWait = 600 * time.Millisecond
+	// failingReadWait is the same while calls to the store are known to fail. One that has just come back answers within it.
+	failingReadWait = 100 * time.Millisecond
 	// streamPause is the time between two reads of the log for one look-up, in which another instance may write the record.
 	streamPause = 100 * time.Millisecond
 	// registryReads is how often the registry is read for one look-up.
@@ -55,6 +57,8 @@
 	store   streamStore
 	// instances returns the number of instances that share the store.
 	instances func() int
+	// storeFails reports whether the calls of the instance to the store are known to fail.
+	storeFails func() bool
 	// run runs a function in a task of the instance.
 	run    func(func(context.Context))
 	series *jaymetric.Exposition
@@ -158,7 +162,11 @@
 // proceed carries out a step of a look-up.
 func (s *streams) proceed(ctx context.Context, step jaystream.Step, p jaystream.Progress) jaystream.Progress {
 	if step == jaystream.StepConfirm {
-		p.Confirmed, p.Unconfirmed = true, !s.registryRead(ctx, streamReadWait)
+		limit := streamReadWait
+		if s.storeFails() {
+			limit = failingReadWait
+		}
+		p.Confirmed, p.Unconfirmed = true, !s.registryRead(ctx, limit)
 		return p
 	}
 	if p.Reads > 0 {
--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -25,10 +25,11 @@
 	registry []jaystore.Record
 	log      [][]byte
 	era      int64
-	// silent is set while calls get no answer, delay is the time of each call.
-	silent bool
-	delay  time.Duration
-	calls  int
+	// silent is set while calls get no answer, delay is the time of each call, changedAt when they were set.
+	silent    bool
+	delay     time.Duration
+	changedAt time.Time
+	calls     int
 }
 
 func (s *streamLog) call(ctx context.Context) error {
@@ -53,7 +54,14 @@
 func (s *streamLog) fail(silent bool, delay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.silent, s.delay = silent, delay
+	s.silent, s.delay, s.changedAt = silent, delay, time.Now()
+}
+
+// isSilent reports whether calls have got no answer for a second.
+func (s *streamLog) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent && time.Since(s.changedAt) > time.Second
 }
 
 // restore brings the store back from a copy with some records of the log.
@@ -118,7 +126,7 @@
 func (s *streamLog) start(ctx context.Context) (instance *streams, kill func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	instance = newStreams(streamOptions{
-		adapter: jsonAdapter{}, store: s, instances: func() int { return 3 }, run: func(run func(context.Context)) { go run(ctx) },
+		adapter: jsonAdapter{}, store: s, instances: func() int { return 3 }, storeFails: s.isSilent, run: func(run func(context.Context)) { go run(ctx) },
 		series: jaymetric.NewExposition(), log: slog.New(slog.DiscardHandler),
 	})
 	s.load(instance)
@@ -173,6 +181,19 @@
 		}, "x", "2", 20 * time.Millisecond},
 		"one version":            {[]string{"1"}, func(*streamLog, *streams, *streams, func()) {}, "x", "1", 10 * time.Millisecond},
 		"one version, no answer": {[]string{"1"}, func(s *streamLog, _, _ *streams, _ func()) { s.fail(true, 0) }, "x", "1", streamReadWait},
+		"one version, no answer for a while": {[]string{"1"}, func(s *streamLog, _, _ *streams, _ func()) {
+			s.fail(true, 0)
+			time.Sleep(2 * time.Second)
+		}, "x", "1", 100 * time.Millisecond},
+		"one version, store is back": {[]string{"1"}, func(s *streamLog, first, _ *streams, _ func()) {
+			s.fail(true, 0)
+			time.Sleep(2 * time.Second)
+			s.register("b", "2")
+			s.load(first)
+			first.Began(streamService, "x", "2")
+			s.fail(false, 4*time.Millisecond)
+			first.Ended(streamService, "x", false)
+		}, "x", "2", 120 * time.Millisecond},
 		"slow store": {[]string{"1", "2"}, func(s *streamLog, first, _ *streams, _ func()) {
 			first.Began(streamService, "x", "2")
 			time.Sleep(110 * time.Millisecond)
@@ -366,7 +387,7 @@
 
 func (s *compactedLog) start(ctx context.Context) *streams {
 	instance := newStreams(streamOptions{
-		adapter: jsonAdapter{}, store: s, instances: func() int { return 3 }, run: func(run func(context.Context)) { go run(ctx) },
+		adapter: jsonAdapter{}, store: s, instances: func() int { return 3 }, storeFails: s.isSilent, run: func(run func(context.Context)) { go run(ctx) },
 		series: jaymetric.NewExposition(), log: slog.New(slog.DiscardHandler),
 	})
 	s.load(instance)
