--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jayfleet"
 	"jayfield.example/jay/jaymetric"
@@ -18,12 +21,19 @@
 	// streamReadWait is how long a look-up waits for a read. A slow store answers in 240 ms, and a read that has begun
 	// before is waited for.
 	streamReadWait = 600 * time.Millisecond
+	// failingReadWait is the same while calls to the store are known to fail. One that has just come back answers within it.
+	failingReadWait = 100 * time.Millisecond
 	// streamPause is the time between two reads of the log for one look-up, in which another instance may write the record.
 	streamPause = 100 * time.Millisecond
+	// registryReads is how often the registry is read for one look-up.
+	registryReads = 3
 	// streamRetry is the time between two reads of the log by an instance that has just started.
 	streamRetry = time.Second
-	// urgentParts is the number of parts of the time between two appends after which an urgent one is made.
-	urgentParts = 5
+	// maxLoggedAttempt is the number of bytes of the ID of an attempt that are logged. Callers choose its length.
+	maxLoggedAttempt = 64
+	// appendBurst is the number of appends that an instance may make at once after a time with few of them, so that a stream is
+	// recorded as soon as its connection breaks.
+	appendBurst = 3
 	// fullPage is the size in bytes from which on the response to a read may lack records up to the end. It is below the
 	// size of a page by more than the size of a record.
 	fullPage = 512 << 10
@@ -47,6 +57,8 @@
 	store   streamStore
 	// instances returns the number of instances that share the store.
 	instances func() int
+	// storeFails reports whether the calls of the instance to the store are known to fail.
+	storeFails func() bool
 	// run runs a function in a task of the instance.
 	run    func(func(context.Context))
 	series *jaymetric.Exposition
@@ -81,8 +93,9 @@
 		streamOptions: options, urgent: make(chan struct{}, 1),
 		table: jaystream.NewTable(), registry: jaystore.NoPosition, logNext: jaystore.NoPosition,
 	}
-	s.registryReads = newSharedRead(s.readRegistry, options.run)
-	s.logReads = newSharedRead(s.readLog, options.run)
+	interval := func() time.Duration { return jaystream.ReadInterval(options.instances()) }
+	s.registryReads = newSharedRead(s.readRegistry, interval, options.run)
+	s.logReads = newSharedRead(s.readLog, interval, options.run)
 	return s
 }
 
@@ -112,24 +125,32 @@
 	answer := s.lookUp(service, attempt, p)
 	for ; answer.Step != jaystream.StepDone && ctx.Err() == nil; answer = s.lookUp(service, attempt, p) {
 		p = s.proceed(ctx, answer.Step, p)
+		p.Silent = p.Failed && time.Since(began) >= streamReadWait
 	}
 	if answer.Step != jaystream.StepDone {
 		answer.Result = resultGone
 	}
 	s.series.Count("stream_lookups_total", jaymetric.Label{Name: "result", Value: string(answer.Result)})
 	if answer.Result != jaystream.ResultOwn {
-		s.log.Info("stream looked up", "service", service, "attempt", attempt, "result", answer.Result, "version", answer.Version,
+		s.log.Info("stream looked up", "service", service, "attempt", attempt[:min(len(attempt), maxLoggedAttempt)], "result", answer.Result, "version", answer.Version,
 			"reads", p.Reads, "failed", p.Failed, "took", time.Since(began))
 	}
 	switch {
 	case answer.Result == resultGone:
-		return "", jaystream.ErrUnknown("the caller has gone", unknownRetryAfter) //nolint:wrapcheck // An error of jaystream.
+		return "", jaystream.NewUnknown("the caller has gone", unknownRetryAfter) //nolint:wrapcheck // An error of jaystream.
 	case answer.Result != jaystream.ResultUnknown:
 		return answer.Version, nil
 	case p.Failed:
-		return "", jaystream.ErrUnknown("the store does not answer", unansweredRetryAfter) //nolint:wrapcheck // An error of jaystream.
+		return "", jaystream.NewUnknown("the store does not answer", unansweredRetryAfter) //nolint:wrapcheck // An error of jaystream.
 	}
-	return "", jaystream.ErrUnknown("no record of the stream, and several versions were in play", unknownRetryAfter) //nolint:wrapcheck // As above.
+	return "", jaystream.NewUnknown(s.doubt(service, attempt), unknownRetryAfter) //nolint:wrapcheck // As above.
+}
+
+// doubt returns why a look-up did not find the version of a stream.
+func (s *streams) doubt(service, attempt string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Doubt(time.Now(), service, attempt)
 }
 
 func (s *streams) lookUp(service, attempt string, p jaystream.Progress) jaystream.Answer {
@@ -141,7 +162,11 @@
 // proceed carries out a step of a look-up.
 func (s *streams) proceed(ctx context.Context, step jaystream.Step, p jaystream.Progress) jaystream.Progress {
 	if step == jaystream.StepConfirm {
-		p.Confirmed, p.Unconfirmed = true, s.registryReads.wait(ctx, streamReadWait) != nil
+		limit := streamReadWait
+		if s.storeFails() {
+			limit = failingReadWait
+		}
+		p.Confirmed, p.Unconfirmed = true, !s.registryRead(ctx, limit)
 		return p
 	}
 	if p.Reads > 0 {
@@ -152,12 +177,29 @@
 	return p
 }
 
+// registryRead reads the registry up to its end, for at most a time, and reports whether the store answered. A read that the store
+// refuses is repeated.
+func (s *streams) registryRead(ctx context.Context, limit time.Duration) bool {
+	deadline := time.Now().Add(limit)
+	for range registryReads {
+		if s.registryReads.wait(ctx, time.Until(deadline)) == nil {
+			return true
+		}
+		waitUntil(ctx, time.Now().Add(min(streamPause, time.Until(deadline))))
+		if ctx.Err() != nil || !time.Now().Before(deadline) {
+			return false
+		}
+	}
+	return false
+}
+
 // Run records the streams of this instance until ctx ends.
 func (s *streams) Run(ctx context.Context) {
-	var readAt, appendedAt time.Time
-	tickAt := time.Now()
+	var readAt time.Time
+	tickAt, appends := time.Now(), rate.NewLimiter(rate.Every(jaystream.Interval(s.instances())), appendBurst)
 	for ctx.Err() == nil {
 		interval := jaystream.Interval(s.instances())
+		appends.SetLimit(rate.Every(interval))
 		select {
 		case <-time.After(time.Until(tickAt)):
 			tickAt = time.Now().Add(interval)
@@ -166,12 +208,12 @@
 				s.logReads.request()
 			}
 		case <-s.urgent:
-			waitUntil(ctx, appendedAt.Add(interval/urgentParts))
 		case <-ctx.Done():
 			return
 		}
-		if s.append(ctx) {
-			appendedAt = time.Now()
+		// The wait fails only if ctx ends. What becomes due meanwhile is part of the append.
+		if len(s.due()) > 0 && appends.Wait(ctx) == nil {
+			s.append(ctx)
 		}
 	}
 }
@@ -193,13 +235,18 @@
 	return s.loaded && !s.table.Complete(time.Now())
 }
 
-// append appends what is due, and reports whether it called the store.
-func (s *streams) append(ctx context.Context) bool {
+// due returns what is to be appended.
+func (s *streams) due() []jaystream.Group {
 	s.mu.Lock()
-	groups := s.table.Due(time.Now())
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.table.Due(time.Now())
+}
+
+// append appends what is due.
+func (s *streams) append(ctx context.Context) {
+	groups := s.confirm(ctx, s.due())
 	if len(groups) == 0 {
-		return false
+		return
 	}
 	record, err := jaystream.EncodeRecord(groups)
 	if err == nil {
@@ -215,14 +262,26 @@
 		}
 		s.failing = true
 		s.count("failed", count)
-		return true
+		return
 	}
 	s.failing = false
 	s.count("recorded", count)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Appended(groups)
-	return true
+}
+
+// confirm reads the registry if groups state that a version is no longer in play, since it may have come back. They wait for the
+// next append if the registry cannot be read.
+func (s *streams) confirm(ctx context.Context, groups []jaystream.Group) []jaystream.Group {
+	left := func(g jaystream.Group) bool { return len(g.Streams) == 0 }
+	if !slices.ContainsFunc(groups, left) {
+		return groups
+	}
+	if !s.registryRead(ctx, streamReadWait) {
+		return slices.DeleteFunc(groups, left)
+	}
+	return s.due()
 }
 
 func (s *streams) count(result string, streams int) {
@@ -258,12 +317,23 @@
 	s.registry = max(s.registry, next)
 }
 
+// skipped processes that the next records observed are a snapshot up to a position. It may lack versions that came and went
+// since the records before, unless these went as far.
+func (s *streams) skipped(end jaystore.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loaded && end > s.registry {
+		s.log.Warn("registry skipped; versions of streams are in doubt", "from", s.registry, "to", end)
+		s.table.Gap(time.Now())
+	}
+}
+
 // setPolicy sets the timeouts of streams.
 func (s *streams) setPolicy(policy *jaytraffic.Policy) {
 	var timeout time.Duration
 	for _, r := range policy.RouteList() {
 		if r.Kind == jaytraffic.KindStream {
-			timeout = max(timeout, r.Timeout)
+			timeout = max(timeout, r.TimeLimit())
 		}
 	}
 	s.mu.Lock()
@@ -279,7 +349,9 @@
 	for {
 		records, end, err := s.store.Read(ctx, jaystore.TopicUpstreams, next, nil)
 		if jayerror.Is(err, jaystore.KindExpired) {
-			records, end, err = s.store.Newest(ctx, jaystore.TopicUpstreams)
+			if records, end, err = s.store.Newest(ctx, jaystore.TopicUpstreams); err == nil {
+				s.skipped(end)
+			}
 		}
 		if err != nil {
 			return err //nolint:wrapcheck // The store's errors are those of jaystore.
@@ -301,6 +373,7 @@
 
 // readLog reads the records of the log that this instance has not read yet.
 func (s *streams) readLog(ctx context.Context) error {
+	began := time.Now()
 	for {
 		records, next, err := s.store.ReadLog(ctx, jaystore.TopicStreams, s.logNext)
 		if jayerror.Is(err, jaystore.KindExpired) && s.logNext != jaystore.NoPosition {
@@ -318,7 +391,7 @@
 		if s.logNext = next; size < fullPage {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.table.ReadAll()
+			s.table.ReadAll(began)
 			return nil
 		}
 	}
--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -17,28 +17,37 @@
 // concurrent use.
 type Table struct {
 	window time.Duration
-	// loaded is when the registry was first read, zero before.
+	// loaded is since when the registry was read without a gap, zero before.
 	loaded time.Time
-	// complete is set once the log has been read up to its end.
+	// complete is set once the log has been read up to its end since then.
 	complete bool
 	services map[uint64]*service
 	// own are the streams that this instance began, unrecorded those of them that are not in the log.
 	own, unrecorded map[Key]*stream
-	// read are the streams of the log, and order their keys, the oldest first.
+	// read are the streams of the log, and order the readings of their records, the oldest first.
 	read    map[Key]*stream
-	order   []Key
+	order   []reading
 	dropped int
 }
 
+// reading is when a record of a stream was read.
+type reading struct {
+	key Key
+	at  time.Time
+}
+
 // service is what is known of the versions of a service.
 type service struct {
 	// name is empty if only records of the log name the service.
 	name       string
 	registered map[string]bool
-	// seen holds when versions were last registered, recorded when those were read that only the log shows.
-	seen, recorded map[string]time.Time
-	// several is set if several versions were in play at the last tick, settled if the log is to state that only one is left.
-	several, settled bool
+	// seen holds when versions were last registered, logged when they were last read from the log. Those of recorded are in play
+	// since they were read from the log.
+	seen, logged, recorded map[string]time.Time
+	// inPlay are the versions that were in play at the last tick, left those of several of which the log is to state that they
+	// are no longer in play.
+	inPlay []string
+	left   map[string]bool
 }
 
 // stream is a stream that began.
@@ -97,6 +106,17 @@
 	}
 }
 
+// Gap processes that versions may have come and gone which the registry did not show to this instance. It trusts the registry
+// as little as one that has just started.
+func (t *Table) Gap(now time.Time) {
+	t.loaded, t.complete = now, false
+	for _, s := range t.services {
+		for version := range s.logged {
+			s.recorded[version] = now
+		}
+	}
+}
+
 // Versions returns the versions of a service that are in play, in the order of their names.
 func (t *Table) Versions(now time.Time, name string) []string {
 	return t.inPlay(now, serviceHash(name))
@@ -127,7 +147,10 @@
 func (t *Table) service(hash uint64) *service {
 	s, ok := t.services[hash]
 	if !ok {
-		s = &service{registered: make(map[string]bool), seen: make(map[string]time.Time), recorded: make(map[string]time.Time)}
+		s = &service{
+			registered: make(map[string]bool), left: make(map[string]bool),
+			seen: make(map[string]time.Time), logged: make(map[string]time.Time), recorded: make(map[string]time.Time),
+		}
 		t.services[hash] = s
 	}
 	return s
@@ -179,15 +202,19 @@
 	t.expireStreams(now)
 	var changes []Change
 	for hash, s := range t.services {
-		for _, times := range []map[string]time.Time{s.seen, s.recorded} {
+		for _, times := range []map[string]time.Time{s.seen, s.logged, s.recorded} {
 			maps.DeleteFunc(times, func(_ string, at time.Time) bool { return now.Sub(at) > t.window })
 		}
 		versions := t.inPlay(now, hash)
-		if several := len(versions) > 1; several != s.several {
-			s.several, s.settled = several, len(versions) == 1
+		before, several := len(s.inPlay) > 1, len(versions) > 1
+		for _, version := range s.inPlay {
+			s.left[version] = before
+		}
+		maps.DeleteFunc(s.left, func(version string, left bool) bool { return !left || slices.Contains(versions, version) })
+		if s.inPlay = versions; several != before {
 			changes = append(changes, Change{Service: s.name, Versions: versions, Several: several})
 		}
-		if len(versions) == 0 {
+		if len(versions) == 0 && len(s.logged) == 0 {
 			delete(t.services, hash)
 		}
 	}
@@ -204,12 +231,22 @@
 		}
 		t.forget(key)
 	}
-	for len(t.order) > 0 && (len(t.order) > maxRemembered || now.Sub(t.read[t.order[0]].at) > t.window) {
-		delete(t.read, t.order[0])
+	t.expireRead(now)
+}
+
+// expireRead drops the oldest streams of the log.
+func (t *Table) expireRead(now time.Time) {
+	for len(t.order) > 0 && (len(t.read) > maxRemembered || now.Sub(t.order[0].at) > t.window) {
+		if !t.isOutdated(t.order[0]) {
+			delete(t.read, t.order[0].key)
+		}
 		t.order = t.order[1:]
 	}
 }
 
+// isOutdated reports whether a record of the stream has been read again since.
+func (t *Table) isOutdated(r reading) bool { return t.read[r.key].at.After(r.at) }
+
 // Rewind processes that the store came back from a copy, which may lack records of this instance.
 func (t *Table) Rewind() { maps.Copy(t.unrecorded, t.own) }
 
@@ -217,7 +254,8 @@
 // which there were too many.
 func (t *Table) Dropped() int { return t.dropped }
 
-// Due returns what is to be appended to the log, nil if there is nothing.
+// Due returns what is to be appended to the log, nil if there is nothing. The caller reads the registry up to its end before it
+// appends that a version is no longer in play, and calls Due again.
 func (t *Table) Due(now time.Time) []Group {
 	type kind struct {
 		service uint64
@@ -239,8 +277,11 @@
 		groups = append(groups, Group{Service: k.service, Version: k.version, Streams: keys})
 	}
 	for hash, s := range t.services {
-		if versions := t.inPlay(now, hash); s.settled && len(versions) == 1 {
-			groups = append(groups, Group{Service: hash, Version: versions[0]})
+		versions := t.inPlay(now, hash)
+		for version := range s.left {
+			if !slices.Contains(versions, version) {
+				groups = append(groups, Group{Service: hash, Version: version})
+			}
 		}
 	}
 	return groups
@@ -253,7 +294,7 @@
 			delete(t.unrecorded, key)
 		}
 		if s, ok := t.services[g.Service]; ok && len(g.Streams) == 0 {
-			s.settled = false
+			delete(s.left, g.Version)
 		}
 	}
 }
@@ -263,11 +304,15 @@
 	// The registry shows an instance that has run for longer than the window all versions in play.
 	young := !t.mature(now)
 	for _, g := range groups {
-		if young && len(g.Streams) == 0 {
-			clear(t.service(g.Service).recorded)
+		s := t.service(g.Service)
+		if len(g.Streams) == 0 {
+			delete(s.logged, g.Version)
+			delete(s.recorded, g.Version)
+			continue
 		}
+		s.logged[g.Version] = now
 		if young {
-			t.service(g.Service).recorded[g.Version] = now
+			s.recorded[g.Version] = now
 		}
 		for _, key := range g.Streams {
 			t.remember(now, key, g)
@@ -278,14 +323,21 @@
 func (t *Table) remember(now time.Time, key Key, g Group) {
 	if s, ok := t.read[key]; ok {
 		s.ambiguous = s.ambiguous || s.version != g.Version
-		return
+		if !s.at.Before(now) {
+			return
+		}
+		s.at = now
+	} else {
+		t.read[key] = &stream{service: g.Service, version: g.Version, at: now}
+	}
+	if t.order = append(t.order, reading{key, now}); len(t.order) > 2*maxRemembered {
+		t.expireRead(now)
+		t.order = slices.DeleteFunc(t.order, t.isOutdated)
 	}
-	t.read[key] = &stream{service: g.Service, version: g.Version, at: now}
-	t.order = append(t.order, key)
 }
 
-// ReadAll processes that the log was read up to its end.
-func (t *Table) ReadAll() { t.complete = true }
+// ReadAll processes that the log was read up to its end by a read that began at a time.
+func (t *Table) ReadAll(began time.Time) { t.complete = t.complete || !began.Before(t.loaded) }
 
 // Complete reports whether the log has been read up to its end, or need not be, since the registry shows all versions in play.
 func (t *Table) Complete(now time.Time) bool { return t.complete || t.mature(now) }
@@ -328,8 +380,9 @@
 	Confirmed, Unconfirmed bool
 	// Reads is the number of reads of the log.
 	Reads int
-	// Failed is set if the store did not answer a read of the log.
-	Failed bool
+	// Failed is set if the newest read of the log failed, Silent if the store has had its time to answer too, so that no more
+	// reads are made.
+	Failed, Silent bool
 }
 
 // Answer is the state of a look-up.
@@ -354,12 +407,29 @@
 	if known && len(versions) == 1 {
 		return p.only(versions[0])
 	}
-	if p.Failed || p.Reads >= maxReads || known && attempt == "" {
+	if p.Silent || p.Reads >= maxReads || known && (attempt == "" || len(versions) == 0) {
 		return unknown
 	}
 	return Answer{Step: StepRead}
 }
 
+// Doubt returns why the version that began a stream is unknown after a look-up.
+func (t *Table) Doubt(now time.Time, name, attempt string) string {
+	s, _ := t.find(name, attempt)
+	versions := t.Versions(now, name)
+	switch {
+	case s != nil && s.ambiguous:
+		return "several versions began streams under the attempt"
+	case t.loaded.IsZero() || !t.Complete(now):
+		return "the instance does not know yet which versions were in play"
+	case len(versions) == 0:
+		return "no version is in play"
+	case attempt == "":
+		return "the attempt is not named, and several versions were in play"
+	}
+	return "no record of the stream, and several versions were in play"
+}
+
 // only returns the answer if one version only is in play.
 func (p Progress) only(version string) Answer {
 	switch {
