Set the size of the fleet of tests of streams before they start

The race detector reported the size, which the cases of the review set after the instance had started, and a log that a test read without its lock. The checks are the same.

--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -124,9 +124,14 @@
 
 // start starts an instance, which has read the registry.
 func (s *streamLog) start(ctx context.Context) (instance *streams, kill func()) {
+	return s.startIn(ctx, 3)
+}
+
+// startIn starts an instance in a fleet.
+func (s *streamLog) startIn(ctx context.Context, instances int) (instance *streams, kill func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	instance = newStreams(streamOptions{
-		adapter: jsonAdapter{}, store: s, instances: func() int { return 3 }, storeFails: s.isSilent, run: func(run func(context.Context)) { go run(ctx) },
+		adapter: jsonAdapter{}, store: s, instances: func() int { return instances }, storeFails: s.isSilent, run: func(run func(context.Context)) { go run(ctx) },
 		series: jaymetric.NewExposition(), log: slog.New(slog.DiscardHandler),
 	})
 	s.load(instance)
@@ -427,8 +432,7 @@
 				store := &streamLog{delay: 2 * time.Millisecond}
 				store.register("a", "1")
 				store.register("b", "2")
-				one, _ := store.start(ctx)
-				one.instances = func() int { return instances }
+				one, _ := store.startIn(ctx, instances)
 				time.Sleep(30 * time.Second)
 				before, began := store.total(), time.Now()
 				for n := range 10_000 {
@@ -458,8 +462,7 @@
 				store := &streamLog{delay: 4 * time.Millisecond}
 				store.register("a", "1")
 				store.register("b", "2")
-				first, _ := store.start(ctx)
-				first.instances = func() int { return instances }
+				first, _ := store.startIn(ctx, instances)
 				other, _ := store.start(ctx)
 				time.Sleep(20 * time.Second)
 				const streams = 40
@@ -648,6 +651,8 @@
 				}
 				time.Sleep(2 * time.Second)
 				recorded := false
+				store.mu.Lock()
+				defer store.mu.Unlock()
 				for _, record := range store.log {
 					groups, err := jaystream.DecodeRecord(record)
 					recorded = recorded || err == nil && len(groups[0].Streams) == 0 && groups[0].Version == "1"
