Keep records of broken streams at other instances

What callers saw while several software versions were in play: in large fleets, most streams whose connections broke were refused when their callers took them up at another instance; and while the store did not answer, all were, although the instances that had begun them ran on.

Cause: the store's log was the only way from one instance to another. In a fleet of 983 an instance appends every 9.83 s, and a caller gives up after 1.5 s; and a log that cannot be read says nothing.

An instance now sends the record of a stream that ends incomplete also to two keepers, the instances that rank first for the stream's key by rendezvous hashing (jaystream.KeepersOf, pure). A look-up that does not know the stream asks those two by its own view, beside the first read of the log, for at most 150 ms. The messages go over jaypeer with a new topic; what breaks within 2 ms is one message for each keeper, at most 32 have no answer, and the rest is dropped, since the records go to the log too. The relay only appends to a list.

What must not change: an unknown stream is refused. An answer is used once the read of the log has ended, so that a record of another version still makes the stream ambiguous if the store answers; a keeper names ambiguous attempts. Records of keepers bring no version into play. A stream that the log already has is sent too, since the log may not answer when it is needed. Instances of a former release decode messages of all other topics as heartbeats, so the message is a byte string, which they refuse (TestMessagesAboutStreams).

The tests that failed before (here with instances that are not connected):

TestBrokenStreamsGoOnInLargeFleet/983_instances 6 of 40 streams went on, want at least half TestBrokenStreamGoesOnWithoutStore/connected version = "", version of stream: unknown: the store does not answer; want "2"

Now 40 of 40 go on in each case of the first. Its harness had no way between instances: it now connects the two with three more, which may be keepers. The three idle instances stand for a fleet whose views agree; a fleet of 983 that exchanges heartbeats was not run.

The race detector reports three races in tests of jayedge that set or read fields of running instances (TestFleetDoesNotUseUpWrites, TestBrokenStreamsGoOnInLargeFleet, TestReturnOfVersionIsReadBeforeItIsRecordedAsLeft); none is in the code.

--- a/jay/jayedge/edge.go
+++ b/jay/jayedge/edge.go
@@ -330,8 +330,9 @@
 	e.roster = jayroster.Start(jayroster.Options{
 		Self: e.self, Source: e, Writer: store, Key: []byte(e.settings.PeerKey),
 		Listener: listeners[e.settings.Peer], Log: e.log, Series: e.series, Changed: e.membersChanged, Reported: e.placer.updateReport,
-		Meter: e.meter,
+		Meter: e.meter, Streams: e.streams.handlePeer,
 	})
+	e.streams.connect(e.roster.AskStreams, func() []jaymember.Status { return *e.members.Load() })
 	return nil
 }
 
--- a/jay/jayedge/streams.go
+++ b/jay/jayedge/streams.go
@@ -77,6 +77,8 @@
 
 	mu    sync.Mutex
 	table *jaystream.Table
+	// keepers is nil until the instance knows others.
+	keepers *keepers
 	// registry is the position up to which the registry was observed.
 	registry jaystore.Position
 	loaded   bool
@@ -109,8 +111,17 @@
 // Ended processes the end of the response to a stream that began.
 func (s *streams) Ended(service, attempt string, complete bool) {
 	s.mu.Lock()
-	urgent := s.table.End(time.Now(), service, attempt, complete)
+	now := time.Now()
+	urgent := s.table.End(now, service, attempt, complete)
+	var broken jaystream.Group
+	kept, keepers := false, s.keepers
+	if !complete && keepers != nil {
+		broken, kept = s.table.Broken(now, service, attempt)
+	}
 	s.mu.Unlock()
+	if kept {
+		keepers.keep(broken)
+	}
 	if urgent {
 		select {
 		case s.urgent <- struct{}{}:
@@ -124,7 +135,7 @@
 	began, p := time.Now(), jaystream.Progress{}
 	answer := s.lookUp(service, attempt, p)
 	for ; answer.Step != jaystream.StepDone && ctx.Err() == nil; answer = s.lookUp(service, attempt, p) {
-		p = s.proceed(ctx, answer.Step, p)
+		p = s.proceed(ctx, service, attempt, answer.Step, p)
 		p.Silent = p.Failed && time.Since(began) >= streamReadWait
 	}
 	if answer.Step != jaystream.StepDone {
@@ -160,7 +171,7 @@
 }
 
 // proceed carries out a step of a look-up.
-func (s *streams) proceed(ctx context.Context, step jaystream.Step, p jaystream.Progress) jaystream.Progress {
+func (s *streams) proceed(ctx context.Context, service, attempt string, step jaystream.Step, p jaystream.Progress) jaystream.Progress {
 	if step == jaystream.StepConfirm {
 		limit := streamReadWait
 		if s.storeFails() {
@@ -173,7 +184,12 @@
 		waitUntil(ctx, time.Now().Add(streamPause))
 	}
 	p.Reads++
+	// A record of the log may differ from what another instance knows, so neither is used before the read has ended.
+	asked := s.askKeepers(ctx, jaystream.NewKey(service, attempt), p.Reads == 1 && attempt != "")
 	p.Failed = s.logReads.wait(ctx, streamReadWait) != nil && ctx.Err() == nil
+	if s.lookUp(service, attempt, p).Step != jaystream.StepDone {
+		<-asked
+	}
 	return p
 }
 
--- a/jay/jayedge/streams_test.go
+++ b/jay/jayedge/streams_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"jayfield.example/jay/jayerror"
 	"jayfield.example/jay/jayfleet"
+	"jayfield.example/jay/jaymember"
 	"jayfield.example/jay/jaymetric"
 	"jayfield.example/jay/jaystore"
 	"jayfield.example/jay/jaystream"
@@ -134,6 +136,26 @@
 	return instance, cancel
 }
 
+// connectAll connects instances with each other.
+func connectAll(instances ...*streams) {
+	for self, instance := range instances {
+		var others []jaymember.Status
+		for n := range instances {
+			if n != self {
+				others = append(others, jaymember.Status{Member: jaymember.Member{Peer: strconv.Itoa(n)}})
+			}
+		}
+		instance.connect(func(_ context.Context, address string, body []byte, _ time.Duration) ([]byte, error) {
+			time.Sleep(time.Millisecond)
+			n, err := strconv.Atoi(address)
+			if err != nil {
+				return nil, err
+			}
+			return instances[n].handlePeer(body)
+		}, func() []jaymember.Status { return others })
+	}
+}
+
 func (s *streamLog) load(instance *streams) {
 	upstreams := make([]jayfleet.Upstream, 0, len(s.registry))
 	for _, r := range s.registry {
@@ -461,6 +483,10 @@
 				first, _ := store.start(ctx)
 				first.instances = func() int { return instances }
 				other, _ := store.start(ctx)
+				third, _ := store.start(ctx)
+				fourth, _ := store.start(ctx)
+				fifth, _ := store.start(ctx)
+				connectAll(first, other, third, fourth, fifth)
 				time.Sleep(20 * time.Second)
 				const streams = 40
 				wentOn := 0
@@ -681,3 +707,45 @@
 		}
 	})
 }
+
+// Guards against streams that are refused while the store does not answer, though the instance that began them is alive.
+func TestBrokenStreamGoesOnWithoutStore(t *testing.T) {
+	tests := map[string]struct {
+		connected bool
+		versions  []string
+		want      string
+	}{
+		"connected":                           {true, []string{"2"}, "2"},
+		"two versions began under an attempt": {true, []string{"2", "1"}, ""},
+		"not connected":                       {false, []string{"2"}, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := &streamLog{delay: 4 * time.Millisecond}
+				store.register("a", "1")
+				store.register("b", "2")
+				instances := make([]*streams, 5)
+				for n := range instances {
+					instances[n], _ = store.start(ctx)
+				}
+				if test.connected {
+					connectAll(instances...)
+				}
+				time.Sleep(time.Second)
+				store.fail(true, 0)
+				time.Sleep(2 * time.Second)
+				for n, version := range test.versions {
+					instances[n].Began(streamService, "x", version)
+					instances[n].Ended(streamService, "x", false)
+				}
+				time.Sleep(100 * time.Millisecond)
+				if got, err := instances[4].Version(ctx, streamService, "x"); got != test.want {
+					t.Errorf("version = %q, %v; want %q", got, err, test.want)
+				}
+			})
+		})
+	}
+}
--- a/jay/jaypeer/frame.go
+++ b/jay/jaypeer/frame.go
@@ -43,6 +43,8 @@
 	TopicMirror Topic = "mirror"
 	// TopicCollect asks for the sums of a zone: the usage of a window and the demand.
 	TopicCollect Topic = "collect"
+	// TopicStreams carries records of streams to keep, or asks for them.
+	TopicStreams Topic = "streams"
 	// TopicSnapshot asks for the configuration above a position.
 	TopicSnapshot Topic = "snapshot"
 	// TopicCall forwards a call to the home of its key.
--- a/jay/jayroster/collect_test.go
+++ b/jay/jayroster/collect_test.go
@@ -20,6 +20,7 @@
 	"jayfield.example/jay/jayroster"
 	"jayfield.example/jay/jaystandin"
 	"jayfield.example/jay/jaystore"
+	"jayfield.example/jay/jaystream"
 	"jayfield.example/jay/jayusage"
 )
 
@@ -44,6 +45,7 @@
 		i.roster = jayroster.Start(jayroster.Options{
 			Self: self, Source: source{}, Writer: writer, Key: []byte("0123456789abcdef"), Listener: i.host.Listen(), Log: slog.New(slog.DiscardHandler),
 			Series: i.series, Client: []jaypeer.ClientOption{jaypeer.WithDialer(i.host)}, Changed: func([]jaymember.Status, int) {}, Meter: i.meter,
+			Streams: func(body []byte) ([]byte, error) { return append([]byte(self.Name+" "), body...), nil },
 		})
 		value, err := msgpack.Marshal(jaylist.Instance{Name: self.Name, Sort: jaylist.SortEntry, Incarnation: self.Incarnation, Address: address, Peer: address, Region: i.zone, Zone: i.zone, State: jaylist.StateLive})
 		if err != nil {
@@ -164,3 +166,26 @@
 		}
 	})
 }
+
+// Guards against messages about streams that do not arrive, and against a former release, which takes them for heartbeats.
+func TestMessagesAboutStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, instances := startMetered(t, 3)
+		defer network.Close()
+		time.Sleep(time.Second)
+		reply, err := instances[0].roster.AskStreams(t.Context(), peerAddress(2), []byte("x"), time.Second)
+		if string(reply) != "i2 x" {
+			t.Errorf("reply = %q, %v", reply, err)
+		}
+		body, err := jaystream.EncodePeer(&jaystream.Message{Ask: []jaystream.Key{{1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := instances[0].roster.HandlePeer(t.Context(), jaypeer.TopicRoster, body); err == nil {
+			t.Error("a message about streams was taken for a heartbeat")
+		}
+		for _, i := range instances {
+			i.roster.Stop()
+		}
+	})
+}
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -87,6 +87,7 @@
 	started time.Time
 
 	reported func(Report)
+	streams  func(body []byte) ([]byte, error)
 
 	mirrors      *mirrors
 	mirrorServer *mirrorServer
@@ -155,6 +156,8 @@
 	Changed func(members []jaymember.Status, population int)
 	// Reported is called in each round with what the other instances report, if it is set.
 	Reported func(report Report)
+	// Streams handles a message of another instance about streams and returns the body of the reply, if it is set.
+	Streams func(body []byte) ([]byte, error)
 	// Meter holds the counts and the demand that instances exchange, nil if neither is asked for.
 	Meter *jayusage.Meter
 }
@@ -162,7 +165,7 @@
 // Start registers the instance in the store and begins to exchange heartbeats.
 func Start(options Options) *Roster {
 	r := &Roster{
-		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, log: options.Log, series: options.Series, changed: options.Changed, reported: options.Reported,
+		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, log: options.Log, series: options.Series, changed: options.Changed, reported: options.Reported, streams: options.Streams,
 		group: jaytask.NewGroup(), started: time.Now(), mirrors: new(mirrors), codec: newCodec(), traffic: newTraffic(options.Series),
 	}
 	r.options = append([]jaypeer.ClientOption{jaypeer.WithTraffic(r.traffic)}, options.Client...)
@@ -220,7 +223,7 @@
 	return n
 }
 
-// HandlePeer handles a digest exchange, a mirrorRequest or a CollectRequest.
+// HandlePeer handles a digest exchange, a mirrorRequest, a CollectRequest or a message about streams.
 func (r *Roster) HandlePeer(ctx context.Context, topic jaypeer.Topic, body []byte) ([]byte, error) {
 	if topic == jaypeer.TopicMirror {
 		defer r.traffic.measure(topic)()
@@ -229,9 +232,25 @@
 	if topic == jaypeer.TopicCollect {
 		return r.serveCollect(ctx, body)
 	}
+	if topic == jaypeer.TopicStreams {
+		return r.serveStreams(body)
+	}
 	return r.serveDigest(ctx, body)
 }
 
+// AskStreams sends a message about streams to the instance at an address and returns the body of its reply.
+func (r *Roster) AskStreams(ctx context.Context, address string, body []byte, bound time.Duration) ([]byte, error) {
+	return r.ask(ctx, connection{address: address, topic: noTopic}, jaypeer.TopicStreams, body, bound)
+}
+
+func (r *Roster) serveStreams(body []byte) ([]byte, error) {
+	if r.streams == nil {
+		return nil, jayerror.New("streams", KindFormat, "this instance keeps no streams")
+	}
+	defer r.traffic.measure(jaypeer.TopicStreams)()
+	return r.streams(body)
+}
+
 // serveDigest handles an encoded digest. The time for which it waits for the owner is not counted.
 func (r *Roster) serveDigest(ctx context.Context, body []byte) ([]byte, error) {
 	var received digest
--- a/jay/jayroster/traffic.go
+++ b/jay/jayroster/traffic.go
@@ -11,7 +11,7 @@
 
 // traffic counts the messages between instances by kind. It is safe for concurrent use.
 type traffic struct {
-	heartbeat, mirror, collect, other topicTraffic
+	heartbeat, mirror, collect, streams, other topicTraffic
 }
 
 // topicTraffic counts the messages of one kind.
@@ -25,7 +25,7 @@
 // newTraffic returns counters that a series shows.
 func newTraffic(series Series) *traffic {
 	t := &traffic{}
-	for kind, counts := range map[string]*topicTraffic{"heartbeat": &t.heartbeat, "mirror": &t.mirror, "collect": &t.collect, "other": &t.other} {
+	for kind, counts := range map[string]*topicTraffic{"heartbeat": &t.heartbeat, "mirror": &t.mirror, "collect": &t.collect, "streams": &t.streams, "other": &t.other} {
 		byKind := jaymetric.Label{Name: "kind", Value: kind}
 		sent, received := jaymetric.Label{Name: "direction", Value: "sent"}, jaymetric.Label{Name: "direction", Value: "received"}
 		show := func(name string, value *atomic.Int64, labels ...jaymetric.Label) {
@@ -50,6 +50,8 @@
 		return &t.mirror
 	case jaypeer.TopicCollect:
 		return &t.collect
+	case jaypeer.TopicStreams:
+		return &t.streams
 	default:
 		// Topics come from other instances, so that their number is not bounded.
 		return &t.other
--- a/jay/jaystream/lookup.go
+++ b/jay/jaystream/lookup.go
@@ -23,9 +23,10 @@
 
 // Results of look-ups.
 const (
-	// ResultOwn is a stream of this instance, ResultRecorded one of the log.
+	// ResultOwn is a stream of this instance, ResultRecorded one of the log, ResultPeer one that another instance knew.
 	ResultOwn      Result = "own"
 	ResultRecorded Result = "recorded"
+	ResultPeer     Result = "peer"
 	// ResultOnly means that only one version is in play, ResultUnconfirmed that the store did not confirm that.
 	ResultOnly        Result = "only"
 	ResultUnconfirmed Result = "unconfirmed"
@@ -99,18 +100,23 @@
 	return Answer{StepDone, ResultOnly, version}
 }
 
-// find returns a stream of this instance or of the log, nil if neither has it.
+// find returns a stream of this instance, of the log or of another instance, nil if none has it.
 func (t *Table) find(name, attempt string) (*stream, Result) {
 	if attempt == "" {
 		return nil, ResultUnknown
 	}
-	key := NewKey(name, attempt)
+	return t.findKey(NewKey(name, attempt))
+}
+
+func (t *Table) findKey(key Key) (*stream, Result) {
 	own, read := t.own[key], t.read[key]
 	switch {
 	case own != nil && read != nil && own.version != read.version:
 		return &stream{ambiguous: true}, ResultUnknown
 	case own != nil:
 		return own, ResultOwn
+	case read != nil && read.kept:
+		return read, ResultPeer
 	}
 	return read, ResultRecorded
 }
--- a/jay/jaystream/table.go
+++ b/jay/jaystream/table.go
@@ -20,7 +20,7 @@
 	services map[uint64]*service
 	// own are the streams that this instance began, unrecorded those of them that are not in the log.
 	own, unrecorded map[Key]*stream
-	// read are the streams of the log, and order the readings of their records, the oldest first.
+	// read are the streams of the log and of other instances, and order the readings of their records, the oldest first.
 	read    map[Key]*stream
 	order   []reading
 	dropped int
@@ -52,6 +52,8 @@
 	version string
 	// ambiguous is set if two versions began streams under the same key.
 	ambiguous bool
+	// kept is set if only other instances, not the log, have shown the record.
+	kept bool
 	// open is the number of responses in progress.
 	open int
 	// at is when the last response ended, or when the record was read.
@@ -311,20 +313,21 @@
 			s.recorded[g.Version] = now
 		}
 		for _, key := range g.Streams {
-			t.remember(now, key, g)
+			t.remember(now, key, g, false)
 		}
 	}
 }
 
-func (t *Table) remember(now time.Time, key Key, g Group) {
+func (t *Table) remember(now time.Time, key Key, g Group, kept bool) {
 	if s, ok := t.read[key]; ok {
+		s.kept = s.kept && kept
 		s.ambiguous = s.ambiguous || s.version != g.Version
 		if !s.at.Before(now) {
 			return
 		}
 		s.at = now
 	} else {
-		t.read[key] = &stream{service: g.Service, version: g.Version, at: now}
+		t.read[key] = &stream{service: g.Service, version: g.Version, kept: kept, at: now}
 	}
 	if t.order = append(t.order, reading{key, now}); len(t.order) > 2*maxRemembered {
 		t.expireRead(now)
