--- a/jay/jayedge/placer.go
+++ b/jay/jayedge/placer.go
@@ -282,8 +282,8 @@
 	}
 	if s.fleet.Changes() != before {
 		p.log.Info("upstream entry", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
-			"leaving", upstream.Leaving, "leavesIn", upstream.LeavesIn, "preemptible", upstream.Preemptible, "stage", upstream.Stage, "version", upstream.Version, "born", upstream.Born,
-			"offset", record.Position)
+			"leaving", upstream.Leaving, "leavesIn", upstream.LeavesIn, "preemptible", upstream.Preemptible,
+			"stage", upstream.Stage, "version", upstream.Version, "born", upstream.Born, "offset", record.Position)
 	}
 }
 
--- a/jay/jayroster/roster.go
+++ b/jay/jayroster/roster.go
@@ -165,7 +165,8 @@
 // Start registers the instance in the store and begins to exchange heartbeats.
 func Start(options Options) *Roster {
 	r := &Roster{
-		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, log: options.Log, series: options.Series, changed: options.Changed, reported: options.Reported, streams: options.Streams,
+		self: options.Self, source: options.Source, writer: options.Writer, key: options.Key, log: options.Log, series: options.Series,
+		changed: options.Changed, reported: options.Reported, streams: options.Streams,
 		group: jaytask.NewGroup(), started: time.Now(), mirrors: new(mirrors), codec: newCodec(), traffic: newTraffic(options.Series),
 	}
 	r.options = append([]jaypeer.ClientOption{jaypeer.WithTraffic(r.traffic)}, options.Client...)
