--- a/jay/jayduty/machine.go
+++ b/jay/jayduty/machine.go
@@ -288,7 +288,7 @@
 }
 
 // apply processes a record of the topic. A record that cannot be decoded counts as another instance's. One that was written
-// under a token of a former era says only that there may be a lease: newer records may have been lost, and its writer may
+// under a token of a former era shows only that there may be a lease: newer records may have been lost, and its writer may
 // not have read those before it.
 func (m *Machine) apply(now time.Duration, r jaystore.Record) {
 	record, err := Decode(r.Value)
--- a/jay/jayfleet/erahistory.go
+++ b/jay/jayfleet/erahistory.go
@@ -45,7 +45,7 @@
 	leaving, late registration
 	// marks are the offsets of the registrations with which the start began to count, held again, or ended a doubt.
 	marks []jaystore.Position
-	// heard is the time at which newest was read.
+	// heard is when newest was read.
 	heard time.Time
 	// confirmed is set once the start counts although its start time is lower than that of an earlier one.
 	confirmed bool
--- a/jay/jayfleet/history.go
+++ b/jay/jayfleet/history.go
@@ -69,7 +69,7 @@
 	return Upstream{}, false
 }
 
-// override returns what the history says of an upstream as it is registered in a later era. Registrations without a start time
+// override returns the state of an upstream that is registered in a later era, as limited by the history. Registrations without a start time
 // and a sequence number are ordered by their offsets alone.
 func (h History) override(latest eraHistory, u Upstream, registered bool) (Upstream, bool) {
 	if u.Born == 0 && u.Sequence == 0 {
@@ -81,7 +81,7 @@
 	return u, registered
 }
 
-// override returns what the history of one era says of an upstream as it is registered in a later one.
+// override returns the state of an upstream that is registered in a later era, as limited by the history of this one.
 func (h eraHistory) override(latest eraHistory, u Upstream, registered bool) (Upstream, bool) {
 	current, holds := h.Registered()
 	known, ok := h.start(u.Born)
--- a/jay/jayroster/topicreader.go
+++ b/jay/jayroster/topicreader.go
@@ -190,7 +190,7 @@
 		return topicPosition{}, false
 	}
 	p, ok := t.roster.positions.freshest(time.Now(), t.topic, t.ageLimit())
-	// The copy of a former era says nothing of what the store has now.
+	// A copy of a former era does not confirm the current content of the store.
 	return p, ok && p.next.Era() >= t.mirror.Next().Era()
 }
 
--- a/jay/jaystore/era.go
+++ b/jay/jaystore/era.go
@@ -2,7 +2,7 @@
 
 import "sync"
 
-// EraState is what the era of a response says of it.
+// EraState classifies a response by its era.
 type EraState string
 
 // States of responses by their era.
@@ -15,7 +15,7 @@
 	EraUnconfirmed EraState = "unconfirmed"
 )
 
-// Eras tells the era of the store from its responses. A rise by more than one counts once a second response states the same era, so
+// Eras tracks the era of the store by its responses. A rise by more than one counts once a second response states the same era, so
 // that one malformed response does not make all that follow seem late. The zero value is in era 0. It is safe for concurrent use.
 type Eras struct {
 	mu sync.Mutex
